--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+# A thin face over CMake: `make` alone lists the targets.
+
+BUILD ?= build
+SHELL := /bin/bash
+
+.PHONY: help setup configure build demo test format format-check lint sanitize
+
+help:
+	@echo "setup         install the Debian packages of packages.txt"
+	@echo "build         compile everything into $(BUILD)/"
+	@echo "demo          install, build, start a small system, walk through it and stop it"
+	@echo "test          run all tests"
+	@echo "format        rewrite the sources with clang-format"
+	@echo "format-check  fail if a source is not formatted"
+	@echo "lint          run clang-tidy over all sources"
+	@echo "sanitize      run the tests under the address and undefined-behaviour sanitizers"
+
+setup:
+	@if ! dpkg -s $$(cat packages.txt) >/dev/null 2>&1; then \
+	  apt-get update -qq && DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $$(cat packages.txt); fi
+	@echo "setup: packages are there"
+
+configure:
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+
+build: configure
+	@cmake --build $(BUILD)
+	@echo "build: done"
+
+test: setup build
+	@cd $(BUILD) && ctest --output-on-failure -j 6
+
+format:
+	@git ls-files '*.h' '*.cpp' | xargs clang-format -i
+	@echo "format: done"
+
+format-check:
+	@git ls-files '*.h' '*.cpp' | xargs clang-format --dry-run -Werror
+	@echo "format-check: clean"
+
+lint: configure
+	@git ls-files '*.cpp' | xargs -P 6 -n 1 clang-tidy -p $(BUILD) --quiet 2>/dev/null
+	@echo "lint: clean"
+
+sanitize: setup
+	@cmake -S . -B build-sanitize -G Ninja -DBAOBABPORT_SANITIZE=ON >/dev/null
+	@cmake --build build-sanitize
+	@cd build-sanitize && ctest --output-on-failure -j 6
+
+demo: setup build
+	@demo/demo.sh
--- /dev/null
+++ b/src/admission/duration_estimator.cpp
@@ -0,0 +1,57 @@
+#include "admission/duration_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace baobabport::admission {
+
+namespace {
+
+constexpr std::size_t max_labels = 512;
+constexpr double gain = 0.125;
+constexpr double spread_gain = 0.25;
+constexpr std::chrono::microseconds unknown_label_time{2000};
+const std::string shared_label = "*";
+
+} // namespace
+
+duration_estimator::estimate &duration_estimator::slot_of(const std::string &label)
+{
+    if (labels_.size() >= max_labels && labels_.find(label) == labels_.end())
+        return labels_[shared_label];
+    return labels_[label];
+}
+
+void duration_estimator::finished(const std::string &label, std::chrono::microseconds took)
+{
+    auto &it = slot_of(label);
+    const auto value = static_cast<double>(took.count());
+    if (!it.known) {
+        it = {value, value / 2, true};
+        return;
+    }
+    it.spread += spread_gain * (std::abs(value - it.mean) - it.spread);
+    it.mean += gain * (value - it.mean);
+}
+
+void duration_estimator::running(const std::string &label, std::chrono::microseconds so_far)
+{
+    auto &it = slot_of(label);
+    it.mean = std::max(it.mean, static_cast<double>(so_far.count()));
+    it.known = true;
+}
+
+std::chrono::microseconds duration_estimator::expected(const std::string &label) const
+{
+    const auto it = labels_.find(label);
+    if (it == labels_.end() || !it->second.known)
+        return unknown_label_time;
+    return std::chrono::microseconds(static_cast<std::int64_t>(it->second.mean));
+}
+
+bool duration_estimator::is_long(const std::string &label, std::chrono::milliseconds threshold) const
+{
+    return expected(label) >= threshold;
+}
+
+} // namespace baobabport::admission
--- /dev/null
+++ b/src/admission/read_sharing.h
@@ -0,0 +1,82 @@
+// Lets identical reads share one answer.
+
+#pragma once
+
+#include "inner/messages.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace baobabport::admission {
+
+using time_point = std::chrono::steady_clock::time_point;
+
+/**
+ * Knows which reads are in progress and the last result of each, by what they ask.
+ *
+ * The number of kept results is bounded; results too old for any reader are forgotten.
+ */
+class read_sharing
+{
+public:
+    /// A result and the time from which on its data is known to be complete.
+    struct result
+    {
+        inner::statement_answer answer;
+        time_point as_of; ///< data up to this time is in it
+        time_point stored_at;
+    };
+
+    /// What a reader accepts of a kept result.
+    struct acceptance
+    {
+        consistency::position floor;
+        std::chrono::milliseconds staleness{0}; ///< 0: no kept result will do
+        std::chrono::milliseconds share_for{0};
+    };
+
+    /**
+     * Returns a kept result that satisfies the reader, or none.
+     */
+    [[nodiscard]] std::optional<inner::statement_answer> find(const std::string &question,
+                                                              const acceptance &needs, time_point now) const;
+
+    /**
+     * Joins the read in progress; returns its key, or none, in which case `key` leads from now on.
+     */
+    std::optional<std::uint64_t> join(const std::string &question, std::uint64_t key);
+
+    /**
+     * Ends the read that `key` led; returns the keys that wait for it.
+     */
+    std::vector<std::uint64_t> end(const std::string &question, std::uint64_t key);
+
+    /// Forgets a reader that waits.
+    void leave(const std::string &question, std::uint64_t key);
+
+    void keep(const std::string &question, result kept);
+
+    /// Forgets results stored longer ago than `max_age`.
+    void expire(time_point now);
+
+    [[nodiscard]] std::size_t size() const { return kept_.size(); }
+
+    static constexpr std::chrono::seconds max_age{30};
+    static constexpr std::size_t max_results = 4096;
+
+private:
+    struct reading
+    {
+        std::uint64_t leader = 0;
+        std::vector<std::uint64_t> waiting;
+    };
+
+    std::unordered_map<std::string, reading> reading_;
+    std::unordered_map<std::string, result> kept_;
+};
+
+} // namespace baobabport::admission
--- /dev/null
+++ b/src/consistency/group_view.cpp
@@ -0,0 +1,141 @@
+#include "consistency/group_view.h"
+
+#include <algorithm>
+
+namespace baobabport::consistency {
+
+namespace {
+
+constexpr std::size_t max_samples = 256;
+constexpr std::chrono::milliseconds min_sample_distance{5};
+
+} // namespace
+
+group_view::group_view(std::size_t instances) : instances_(instances) {}
+
+void group_view::observe(instance_id instance, const instance_status &status, time_point asked_at)
+{
+    auto &it = instances_[instance];
+    highest_term_ = std::max(highest_term_, status.promised_term);
+    if (it.answered && asked_at < it.asked_at && status.promised_term <= it.status.promised_term) {
+        // The instance held this position at some time; that stays true of its term.
+        it.status.log = std::max(it.status.log, status.log);
+        return;
+    }
+    it.status = status;
+    it.asked_at = std::max(it.asked_at, asked_at);
+    it.answered = true;
+    sample_primary(instance, asked_at);
+}
+
+void group_view::observe_position(instance_id instance, position log, time_point asked_at)
+{
+    auto &it = instances_[instance];
+    highest_term_ = std::max(highest_term_, log.term);
+    it.status.log = std::max(it.status.log, log);
+    sample_primary(instance, asked_at);
+}
+
+void group_view::sample_primary(instance_id instance, time_point asked_at)
+{
+    if (primary() != instance)
+        return;
+    const auto log = instances_[instance].status.log;
+    if (!samples_.empty()) {
+        auto &last = samples_.back();
+        if (log < last.log)
+            return;
+        if (log == last.log) {
+            last.asked_at = std::max(last.asked_at, asked_at);
+            return;
+        }
+        if (asked_at < last.asked_at + min_sample_distance)
+            return;
+    }
+    samples_.push_back({asked_at, log});
+    if (samples_.size() > max_samples)
+        samples_.pop_front();
+}
+
+std::optional<instance_id> group_view::primary() const
+{
+    std::optional<instance_id> found;
+    for (instance_id it = 0; it < instances_.size(); ++it) {
+        const auto &status = instances_[it].status;
+        if (status.role != instance_role::primary)
+            continue;
+        if (!found || status.promised_term > instances_[*found].status.promised_term)
+            found = it;
+    }
+    return found;
+}
+
+std::uint64_t group_view::primary_term() const
+{
+    const auto found = primary();
+    return found ? instances_[*found].status.promised_term : 0;
+}
+
+std::optional<position> group_view::durable_position(std::uint64_t term) const
+{
+    std::vector<position> logs;
+    for (const auto &it : instances_) {
+        if (it.status.log.term == term)
+            logs.push_back(it.status.log);
+    }
+    if (logs.size() < majority())
+        return std::nullopt;
+    std::sort(logs.begin(), logs.end(), std::greater<>());
+    return logs[majority() - 1];
+}
+
+bool group_view::confirmed_since(std::uint64_t term, time_point since) const
+{
+    std::size_t n = 0;
+    for (const auto &it : instances_) {
+        if (it.answered && it.asked_at >= since && it.status.promised_term <= term)
+            ++n;
+    }
+    return n >= majority();
+}
+
+std::size_t group_view::answered_since(time_point since) const
+{
+    return static_cast<std::size_t>(std::count_if(instances_.begin(), instances_.end(), [&](const auto &it) {
+        return it.answered && it.asked_at >= since;
+    }));
+}
+
+std::optional<position> group_view::majority_floor() const
+{
+    std::size_t n = 0;
+    position floor;
+    for (const auto &it : instances_) {
+        if (!it.answered)
+            continue;
+        ++n;
+        floor = std::max(floor, it.status.log);
+    }
+    if (n < majority())
+        return std::nullopt;
+    return floor;
+}
+
+std::optional<time_point> group_view::last_answer(instance_id instance) const
+{
+    if (!instances_[instance].answered)
+        return std::nullopt;
+    return instances_[instance].asked_at;
+}
+
+std::optional<std::chrono::milliseconds> group_view::staleness(instance_id instance, time_point now) const
+{
+    const auto log = instances_[instance].status.log;
+    const auto it = std::find_if(samples_.rbegin(), samples_.rend(),
+                                 [&](const auto &sample) { return sample.log <= log; });
+    if (it == samples_.rend())
+        return std::nullopt;
+    return std::chrono::ceil<std::chrono::milliseconds>(now - it->asked_at);
+}
+
+} // namespace baobabport::consistency
--- /dev/null
+++ b/src/consistency/group_view.h
@@ -0,0 +1,120 @@
+// A pooler's first-hand view of a database group: terms, log positions and their age.
+
+#pragma once
+
+#include "consistency/instance_status.h"
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace baobabport::consistency {
+
+using time_point = std::chrono::steady_clock::time_point;
+
+/**
+ * Holds what was last observed of each instance, and answers what follows from it.
+ *
+ * Every observation carries the time at which its question was sent, so an answer is never taken for
+ * younger than it is.
+ */
+class group_view
+{
+public:
+    explicit group_view(std::size_t instances);
+
+    /**
+     * Takes in an instance's status. Older observations than the known one only raise terms.
+     */
+    void observe(instance_id instance, const instance_status &status, time_point asked_at);
+
+    /**
+     * Takes in a log position that came with a statement's answer.
+     */
+    void observe_position(instance_id instance, position log, time_point asked_at);
+
+    /**
+     * Takes in that the instance refused a write because it is not the primary of the term.
+     */
+    void demote(instance_id instance) { instances_[instance].status.role = instance_role::replica; }
+
+    [[nodiscard]] std::size_t size() const { return instances_.size(); }
+    [[nodiscard]] std::size_t majority() const { return instances_.size() / 2 + 1; }
+
+    /**
+     * Returns the highest term any instance was seen to promise.
+     */
+    [[nodiscard]] std::uint64_t highest_term() const { return highest_term_; }
+
+    /**
+     * Returns the primary of the highest term seen with a primary, unless a later term was promised by
+     * that primary itself.
+     */
+    [[nodiscard]] std::optional<instance_id> primary() const;
+
+    /**
+     * Returns the term of `primary()`, or 0 without one.
+     */
+    [[nodiscard]] std::uint64_t primary_term() const;
+
+    /**
+     * Returns the last position of the term that a majority of the group holds, or none.
+     *
+     * Only logs whose last entry is of that term count: another log may have to be cut back.
+     */
+    [[nodiscard]] std::optional<position> durable_position(std::uint64_t term) const;
+
+    /**
+     * Returns true if a majority answered a question sent at or after `since` and had promised no term
+     * above `term`.
+     */
+    [[nodiscard]] bool confirmed_since(std::uint64_t term, time_point since) const;
+
+    /**
+     * Returns the number of instances that answered a question sent at or after `since`.
+     */
+    [[nodiscard]] std::size_t answered_since(time_point since) const;
+
+    /**
+     * Returns the highest log position among the instances, or none until a majority answered.
+     *
+     * Any acknowledged write of the past is at or below it.
+     */
+    [[nodiscard]] std::optional<position> majority_floor() const;
+
+    [[nodiscard]] position log_of(instance_id instance) const { return instances_[instance].status.log; }
+    [[nodiscard]] const instance_status &status_of(instance_id instance) const
+    {
+        return instances_[instance].status;
+    }
+    [[nodiscard]] std::optional<time_point> last_answer(instance_id instance) const;
+
+    /**
+     * Returns an upper bound of how old the instance's data is, or none if that is not known.
+     */
+    [[nodiscard]] std::optional<std::chrono::milliseconds> staleness(instance_id instance,
+                                                                     time_point now) const;
+
+private:
+    struct observation
+    {
+        instance_status status;
+        time_point asked_at;
+        bool answered = false;
+    };
+    struct primary_sample
+    {
+        time_point asked_at;
+        position log;
+    };
+
+    void sample_primary(instance_id instance, time_point asked_at);
+
+    std::vector<observation> instances_;
+    std::uint64_t highest_term_ = 0;     ///< never falls
+    std::deque<primary_sample> samples_; ///< oldest first, positions never fall
+};
+
+} // namespace baobabport::consistency
--- /dev/null
+++ b/src/consistency/position.h
@@ -0,0 +1,23 @@
+// The order of a database group's log across changes of primary.
+
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace baobabport::consistency {
+
+/**
+ * A place in a database group's log.
+ *
+ * Positions are ordered by term first: a longer log of an older term is not ahead.
+ */
+struct position
+{
+    std::uint64_t term = 0;
+    std::uint64_t offset = 0; ///< entries from the start of the log
+
+    auto operator<=>(const position &) const = default;
+};
+
+} // namespace baobabport::consistency
--- /dev/null
+++ b/src/consistency/read_router.cpp
@@ -0,0 +1,73 @@
+#include "consistency/read_router.h"
+
+namespace baobabport::consistency {
+
+namespace {
+
+bool is_fresh_enough(const group_view &group, instance_id instance, const read_needs &needs, time_point now)
+{
+    if (group.log_of(instance) < needs.floor)
+        return false;
+    if (needs.staleness.count() == 0 || group.primary() == instance)
+        return true;
+    const auto age = group.staleness(instance, now);
+    return age && *age <= needs.staleness;
+}
+
+bool has_room(const instance_room &room, const read_needs &needs)
+{
+    if (!room.usable || room.free_slots == 0)
+        return false;
+    return !needs.long_work || room.long_running < room.long_slots;
+}
+
+/// Returns true if `a` suits the read better than `b`; both have room.
+bool is_better(const instance_room &a, const instance_room &b, const read_needs &needs)
+{
+    if (needs.long_work)
+        return a.long_running >= b.long_running; // gathers on one replica
+    if (a.free_slots != b.free_slots)
+        return a.free_slots > b.free_slots;
+    return a.long_running < b.long_running;
+}
+
+bool primary_may_help(const instance_room &room, const read_needs &needs)
+{
+    return needs.urgent && !needs.long_work && room.free_slots == room.slots;
+}
+
+} // namespace
+
+read_choice choose_instance(const group_view &group, const std::vector<instance_room> &rooms,
+                            const read_needs &needs, time_point now)
+{
+    const auto primary = group.primary();
+    if (needs.sure) {
+        if (!primary || group.primary_term() < group.highest_term())
+            return {std::nullopt, "no_primary"};
+        if (!has_room(rooms[*primary], needs))
+            return {std::nullopt, "primary_busy"};
+        return {primary, {}};
+    }
+    std::optional<instance_id> best;
+    bool some_replica_fits = false;
+    for (instance_id it = 0; it < group.size(); ++it) {
+        if (it == primary || !is_fresh_enough(group, it, needs, now))
+            continue;
+        some_replica_fits = some_replica_fits || rooms[it].usable;
+        if (!has_room(rooms[it], needs))
+            continue;
+        if (!best || is_better(rooms[it], rooms[*best], needs))
+            best = it;
+    }
+    if (best)
+        return {best, {}};
+    if (!primary || !is_fresh_enough(group, *primary, needs, now))
+        return {std::nullopt, "no_instance_fresh_enough"};
+    const auto &room = rooms[*primary];
+    if (has_room(room, needs) && (!some_replica_fits || primary_may_help(room, needs)))
+        return {primary, {}};
+    return {std::nullopt, "all_busy"};
+}
+
+} // namespace baobabport::consistency
--- /dev/null
+++ b/src/ctl/document_commands.cpp
@@ -0,0 +1,222 @@
+#include "ctl/document_commands.h"
+
+#include "document/document_reader.h"
+#include "document/text_merge.h"
+#include "settings/settings_reader.h"
+#include "support/keys.h"
+
+#include <chrono>
+#include <ctime>
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <sstream>
+
+namespace baobabport::ctl {
+
+using document::change_outcome;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds store_timeout{2000};
+constexpr int max_tries = 6;
+constexpr std::size_t change_id_bytes = 9;
+
+std::string time_text(std::int64_t unix_seconds)
+{
+    const std::time_t time = unix_seconds;
+    std::tm parts{};
+    gmtime_r(&time, &parts);
+    std::ostringstream out;
+    out << std::put_time(&parts, "%Y-%m-%dT%H:%M:%SZ");
+    return out.str();
+}
+
+} // namespace
+
+document_commands::document_commands(const settings::process_settings &settings, std::ostream &out,
+                                     std::ostream &err)
+    : settings_(settings), out_(out), err_(err)
+{
+}
+
+int document_commands::check(const std::string &file)
+{
+    const auto text = settings::read_text_file(file);
+    if (!text) {
+        err_ << file << ": cannot be read\n";
+        return exit_usage;
+    }
+    document::document_reader reader;
+    const auto document = reader.read(*text);
+    if (!document) {
+        err_ << file << ": " << reader.last_reason() << '\n';
+        return exit_refused;
+    }
+    out_ << file << ": a right document for " << document->database << " with " << document->classes.size()
+         << " classes\n";
+    return exit_done;
+}
+
+document_commands::store_reading document_commands::read(const std::string &database)
+{
+    store_reading out;
+    const auto path = "/v1/keys/" + document::document_key(database);
+    const auto answer = client_.call(settings_.store, {http::method_kind::get, path, {}, {}, store_timeout});
+    if (answer.failure != http::client_failure::none)
+        return out;
+    out.answered = answer.status == 200 || answer.status == 404;
+    if (answer.status != 200)
+        return out;
+    const auto body = json::parse(answer.body, nullptr, false);
+    const auto envelope = body.is_object() ? document::read_envelope(body.value("value", "")) : std::nullopt;
+    if (!envelope) {
+        out.answered = false;
+        return out;
+    }
+    out.document = {body.value("revision", std::uint64_t{0}), *envelope};
+    return out;
+}
+
+int document_commands::no_answer()
+{
+    err_ << "NOT ACCEPTED: the store gave no answer. Nothing was changed; the document in force stays.\n"
+         << "next: try again; `baobabport-ctl status` shows what is in force\n";
+    return exit_store;
+}
+
+int document_commands::show(const std::string &database)
+{
+    const auto present = read(database);
+    if (!present.answered)
+        return no_answer();
+    if (present.document.revision == 0) {
+        err_ << "no document for " << database << " yet\n";
+        return exit_refused;
+    }
+    out_ << "// revision " << present.document.revision << '\n' << present.document.envelope.text;
+    return exit_done;
+}
+
+int document_commands::diff(const std::string &database, const std::string &file)
+{
+    const auto text = settings::read_text_file(file);
+    if (!text) {
+        err_ << file << ": cannot be read\n";
+        return exit_usage;
+    }
+    const auto present = read(database);
+    if (!present.answered)
+        return no_answer();
+    out_ << document::diff_texts(present.document.envelope.text, *text);
+    return exit_done;
+}
+
+int document_commands::history(const std::string &database)
+{
+    const auto present = read(database);
+    if (!present.answered)
+        return no_answer();
+    const auto &changes = present.document.envelope.changes;
+    for (auto it = changes.rbegin(); it != changes.rend(); ++it)
+        out_ << time_text(it->unix_seconds) << "  " << it->id << "  " << it->by << "  " << it->note << '\n';
+    return exit_done;
+}
+
+int document_commands::apply(const apply_options &options)
+{
+    const auto text = settings::read_text_file(options.file);
+    if (!text) {
+        err_ << options.file << ": cannot be read\n";
+        return exit_usage;
+    }
+    if (check(options.file) != exit_done)
+        return exit_refused;
+    const auto present = read(options.database);
+    if (!present.answered)
+        return no_answer();
+    if (options.expected_revision && *options.expected_revision != present.document.revision) {
+        err_ << "NOT ACCEPTED: the store holds revision " << present.document.revision << ", not "
+             << *options.expected_revision << ":\n"
+             << document::diff_texts(present.document.envelope.text, *text)
+             << "next: take the change made meanwhile into your file, then apply it again\n";
+        return exit_refused;
+    }
+    document::change_record record;
+    record.id = support::to_base64(support::random_bytes(change_id_bytes));
+    record.by = options.by;
+    record.note = options.note;
+    record.unix_seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    const document::document_change change(options.database, present.document, *text, record);
+    return run_change(options.database, change, present.document);
+}
+
+int document_commands::run_change(const std::string &database, const document::document_change &change,
+                                  const document::stored_document &first)
+{
+    auto present = first;
+    bool wrote = false;
+    for (int n = 0; n < max_tries; ++n) {
+        const auto decision = change.decide(present);
+        switch (decision.outcome) {
+        case change_outcome::already_there:
+            out_ << "ACCEPTED as revision " << present.revision << " or before\n";
+            return exit_done;
+        case change_outcome::nothing_to_do:
+            out_ << "nothing to change: revision " << present.revision << " says so already\n";
+            return exit_done;
+        case change_outcome::conflict:
+            err_ << "NOT ACCEPTED: somebody else changed the same lines.\n" << decision.reason;
+            return exit_refused;
+        case change_outcome::invalid:
+            err_ << "NOT ACCEPTED: " << decision.reason << '\n';
+            return exit_refused;
+        case change_outcome::write:
+            break;
+        }
+        std::uint64_t revision = 0;
+        const auto end = write(database, decision, revision);
+        if (end == write_end::accepted) {
+            out_ << "ACCEPTED as revision " << revision
+                 << (decision.merged ? ", merged with a change made meanwhile\n" : "\n");
+            return exit_done;
+        }
+        wrote = wrote || end == write_end::unknown;
+        // The answer may have been lost, or another change was first: what the store holds tells.
+        const auto again = read(database);
+        if (again.answered)
+            present = again.document;
+        else if (wrote)
+            break;
+        else
+            return no_answer();
+    }
+    err_ << "UNCLEAR: the store's answer was lost and it cannot be read back now.\n"
+         << "next: `baobabport-ctl history " << database << "` shows whether the change was taken;\n"
+         << "applying the same file again is safe\n";
+    return exit_unclear;
+}
+
+document_commands::write_end document_commands::write(const std::string &database,
+                                                      const document::change_decision &decision,
+                                                      std::uint64_t &revision)
+{
+    const auto path = "/v1/keys/" + document::document_key(database) +
+                      "?expected=" + std::to_string(decision.expected_revision);
+    const auto answer =
+        client_.call(settings_.store, {http::method_kind::put, path, decision.value, {}, store_timeout});
+    if (answer.failure != http::client_failure::none)
+        return write_end::unknown;
+    if (answer.status == 409)
+        return write_end::other_revision;
+    const auto body = json::parse(answer.body, nullptr, false);
+    if (answer.status != 200 || !body.is_object())
+        return write_end::unknown;
+    revision = body.value("revision", std::uint64_t{0});
+    return write_end::accepted;
+}
+
+} // namespace baobabport::ctl
--- /dev/null
+++ b/src/ctl/document_commands.h
@@ -0,0 +1,75 @@
+// The operator's commands on documents: check, show, diff, apply and history.
+
+#pragma once
+
+#include "document/document_change.h"
+#include "http/blocking_client.h"
+#include "settings/process_settings.h"
+
+#include <iosfwd>
+#include <optional>
+#include <string>
+
+namespace baobabport::ctl {
+
+/// Exit statuses of `baobabport-ctl`.
+enum exit_status : int
+{
+    exit_done = 0,
+    exit_refused = 1, ///< checked and found wrong, or a conflict; nothing was changed
+    exit_usage = 2,   ///< bad usage or settings
+    exit_store = 3,   ///< the store gave no answer; nothing was accepted
+    exit_unclear = 4, ///< the store's answer was lost and its fate could not be learned
+    exit_partial = 5, ///< some processes gave no answer
+};
+
+struct apply_options
+{
+    std::string database;
+    std::string file;
+    std::string by;
+    std::string note;
+    std::optional<std::uint64_t> expected_revision; ///< of the document that the file was made from
+};
+
+/**
+ * Talks to the store for one command; results go to the streams given.
+ */
+class document_commands
+{
+public:
+    document_commands(const settings::process_settings &settings, std::ostream &out, std::ostream &err);
+
+    int check(const std::string &file);
+    int show(const std::string &database);
+    int diff(const std::string &database, const std::string &file);
+    int history(const std::string &database);
+    int apply(const apply_options &options);
+
+private:
+    struct store_reading
+    {
+        bool answered = false;
+        document::stored_document document;
+    };
+    enum class write_end : std::uint8_t
+    {
+        accepted,
+        other_revision,
+        unknown
+    };
+
+    store_reading read(const std::string &database);
+    write_end write(const std::string &database, const document::change_decision &decision,
+                    std::uint64_t &revision);
+    int run_change(const std::string &database, const document::document_change &change,
+                   const document::stored_document &first);
+    int no_answer();
+
+    const settings::process_settings &settings_;
+    std::ostream &out_;
+    std::ostream &err_;
+    http::blocking_client client_;
+};
+
+} // namespace baobabport::ctl
--- /dev/null
+++ b/src/failover/failover_controller.h
@@ -0,0 +1,142 @@
+// Decides when a database group's primary is replaced, and carries the replacement through.
+
+#pragma once
+
+#include "failover/instance_health.h"
+#include "home/upstream.h"
+
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace baobabport::failover {
+
+using consistency::group_view;
+using consistency::instance_id;
+
+/// Defects that the tests switch on to see that they are caught.
+struct failover_defects
+{
+    bool skip_fence = false;      ///< promote without fencing a majority
+    bool fence_one = false;       ///< take one fenced instance for enough
+    bool promote_any = false;     ///< promote the first fenced instance, not the one furthest ahead
+    bool reuse_term = false;      ///< propose the term seen instead of a new one
+    bool compare_offsets = false; ///< compare logs by length, without their terms
+};
+
+/// What a step of the controller asks for.
+struct failover_step
+{
+    std::vector<home::instance_command> commands;
+    std::optional<inner::view_request> ask_peer;
+
+    /// Set once, when this controller promoted an instance.
+    struct promotion
+    {
+        instance_id primary = 0;
+        std::uint64_t term = 0;
+        consistency::position base; ///< end of the log that was promoted
+    };
+    std::optional<promotion> promoted;
+};
+
+/**
+ * Replaces a failed or leaving primary.
+ *
+ * Safety does not depend on who runs it or on how many do: a promotion needs a majority of the instances
+ * fenced at a term that no other proposer can use, and takes the log that is furthest ahead among them.
+ * An acknowledged write is held by a majority, two majorities meet, so the promoted log holds it.
+ */
+class failover_controller
+{
+public:
+    enum class phase : std::uint8_t
+    {
+        steady,
+        asking_peer,
+        fencing,
+        promoting,
+        waiting
+    };
+
+    failover_controller(std::string database, std::size_t instances, std::uint32_t vm_number,
+                        std::uint64_t seed);
+
+    /**
+     * Decides the next step at `now`.
+     *
+     * `health` and `leaving` have one element an instance. `may_hand_over` says that a leaving primary has
+     * no write in progress.
+     */
+    failover_step step(const group_view &group, const std::vector<instance_health> &health,
+                       const std::vector<bool> &leaving, bool may_hand_over,
+                       const document::failover_policy &policy, time_point now);
+
+    /// Takes in the outcome of a fence or promote command.
+    void take(const home::command_result &result, time_point now);
+
+    /// Takes in the next-ranked pooler's view.
+    void take(const inner::view_answer &answer, const document::failover_policy &policy, time_point now);
+
+    [[nodiscard]] phase current() const { return phase_; }
+
+    /**
+     * Returns true while another pooler reaches the primary and this one does not.
+     */
+    [[nodiscard]] bool cut_off(time_point now) const { return now < cut_off_until_; }
+
+    /**
+     * Returns true if the primary is about to be replaced because it leaves, so that no write may start.
+     */
+    [[nodiscard]] bool handing_over() const { return handing_over_; }
+
+    /// Returns why the last replacement was begun or given up; empty: none yet.
+    [[nodiscard]] const std::string &last_reason() const { return last_reason_; }
+
+    failover_defects defects;
+
+private:
+    struct fenced_log
+    {
+        instance_id instance = 0;
+        consistency::position log;
+    };
+
+    [[nodiscard]] bool wants_replacement(const group_view &group, const std::vector<instance_health> &health,
+                                         const std::vector<bool> &leaving, bool may_hand_over,
+                                         const document::failover_policy &policy, time_point now);
+    [[nodiscard]] bool hand_over_is_ready(const group_view &group, const std::vector<instance_health> &health,
+                                          const std::vector<bool> &leaving, instance_id primary,
+                                          bool may_hand_over) const;
+    void begin_asking(const group_view &group, const document::failover_policy &policy, time_point now,
+                      failover_step &out);
+    void begin_fencing(const group_view &group, const document::failover_policy &policy, time_point now,
+                       failover_step &out);
+    void begin_promoting(const group_view &group, const document::failover_policy &policy, time_point now,
+                         failover_step &out);
+    void finish_promotion(failover_step &out);
+    void wait(const document::failover_policy &policy, time_point now, std::string reason);
+    [[nodiscard]] std::optional<fenced_log> best_candidate() const;
+    [[nodiscard]] bool ahead(const fenced_log &a, const fenced_log &b) const;
+    [[nodiscard]] std::chrono::milliseconds jitter(std::chrono::milliseconds range);
+
+    std::string database_;
+    std::uint32_t vm_number_;
+    std::mt19937_64 random_;
+    phase phase_ = phase::steady;
+    std::optional<time_point> unsettled_since_; ///< since when no primary holds the highest term
+    time_point phase_until_;
+    time_point cut_off_until_;
+    bool handing_over_ = false;
+    bool peer_denied_ = false;
+    std::uint64_t term_ = 0;         ///< proposed; never proposed before
+    std::vector<fenced_log> fenced_; ///< each instance at most once, all at `term_`
+    std::vector<bool> leaving_;
+    fenced_log candidate_;
+    bool promote_accepted_ = false;
+    bool outbid_ = false; ///< an instance had promised a higher term
+    std::string last_reason_;
+};
+
+} // namespace baobabport::failover
--- /dev/null
+++ b/src/failover/instance_health.cpp
@@ -0,0 +1,37 @@
+#include "failover/instance_health.h"
+
+#include <algorithm>
+
+namespace baobabport::failover {
+
+void instance_health::answered(time_point asked_at)
+{
+    last_answer_ = last_answer_ ? std::max(*last_answer_, asked_at) : asked_at;
+    if (silent_since_ && asked_at >= *silent_since_)
+        silent_since_.reset();
+    if (refused_since_ && asked_at >= *refused_since_)
+        refused_since_.reset();
+}
+
+void instance_health::refused(time_point now)
+{
+    if (!refused_since_)
+        refused_since_ = now;
+}
+
+void instance_health::unanswered(time_point asked_at)
+{
+    if (last_answer_ && *last_answer_ > asked_at)
+        return;
+    if (!silent_since_ || asked_at < *silent_since_)
+        silent_since_ = asked_at;
+}
+
+bool instance_health::failed(const document::failover_policy &policy, time_point now) const
+{
+    if (refused_since_ && now - *refused_since_ >= policy.refused_after)
+        return true;
+    return silent_since_ && now - *silent_since_ >= policy.silent_after;
+}
+
+} // namespace baobabport::failover
--- /dev/null
+++ b/src/home/database_home.h
@@ -0,0 +1,255 @@
+// The home of one database: takes its requests, schedules its slots, and answers for the promises.
+
+#pragma once
+
+#include "admission/duration_estimator.h"
+#include "admission/read_sharing.h"
+#include "admission/request_ledger.h"
+#include "admission/request_queue.h"
+#include "admission/retry_budget.h"
+#include "consistency/held_answers.h"
+#include "consistency/read_router.h"
+#include "consistency/session_memory.h"
+#include "document/service_document.h"
+#include "home/connection_pool.h"
+#include "home/group_monitor.h"
+#include "home/transaction_table.h"
+#include "home/upstream.h"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace baobabport::home {
+
+/// How a home decides; `plain` is the baseline that the measures compare with.
+enum class policy_kind : std::uint8_t
+{
+    session,
+    plain
+};
+
+/// What a home knows of its database group from the settings.
+struct home_settings
+{
+    std::string database;
+    std::vector<std::string> instances;  ///< names, in `instance_id` order
+    std::uint32_t slots = 2;             ///< of each instance
+    std::uint32_t connection_limit = 16; ///< of each instance, for everyone together
+    std::uint32_t vm_number = 0;
+    std::uint64_t seed = 1;
+    policy_kind policy = policy_kind::session;
+    std::uint32_t plain_share = 1; ///< plain: this node's part of connections and slots is 1 over this
+};
+
+/// Defects that the tests switch on to see that they are caught.
+struct home_defects
+{
+    bool acknowledge_at_once = false;    ///< does not wait for a majority
+    bool retry_after_send = false;       ///< sends a not-repeatable write again
+    bool reuse_after_late = false;       ///< keeps a connection with a late answer
+    bool ignore_floor = false;           ///< any instance serves any read
+    bool deliver_old_reads = false;      ///< does not check the answer's own position
+    bool lost_is_not_run = false;        ///< claims that a lost write did not run
+    bool share_pinned = false;           ///< lends a transaction's connection to others
+    bool forget_request_ids = false;     ///< sends a write without its id and keeps no ledger
+    bool unconfirmed_sure_reads = false; ///< serves a read in doubt without asking a majority
+    bool ignore_rebase = false;          ///< keeps waiting in the old term after a promotion
+};
+
+/// Counters for the dump and the metrics.
+struct home_counters
+{
+    std::uint64_t reads_by_replica = 0;
+    std::uint64_t reads_by_primary = 0;
+    std::uint64_t reads_shared = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t promotions = 0;
+    std::array<std::uint64_t, 3> verdicts{};       ///< by `consistency::verdict`
+    std::map<std::string, std::uint64_t> refusals; ///< by reason
+};
+
+/**
+ * Decides everything about one database, from events and the present time to calls on the hooks.
+ *
+ * It reads no clock and owns no socket: the pooler's task and the tests drive it the same way.
+ *
+ * Invariants:
+ * - each request gets exactly one answer;
+ * - a request that is not repeatable is sent upstream at most once;
+ * - no answer shows a position that a majority of the group does not hold, unless the class says so.
+ */
+class database_home
+{
+public:
+    database_home(home_settings settings, home_hooks hooks,
+                  std::shared_ptr<const document::service_document> document);
+
+    /// Takes in a request; its answer comes through the hook, maybe at once.
+    void submit(request_key key, const inner::statement_request &request, time_point now);
+
+    void connection_opened(connection_id id, time_point now);
+    void connection_failed(connection_id id, bool refused, time_point now);
+
+    /// Takes in that a connection ended; a call in flight on it is lost.
+    void connection_lost(connection_id id, time_point now);
+
+    void take(connection_id connection, const upstream_result &result, time_point now);
+    void take(const command_result &result, time_point now);
+    void take(const inner::view_answer &answer, time_point now);
+
+    /// Does what is due. Called every few milliseconds while there is work.
+    void tick(time_point now);
+
+    /// Answers another pooler that asks how this one sees the primary.
+    [[nodiscard]] inner::view_answer view_for(const inner::view_request &request, time_point now) const;
+
+    void set_document(std::shared_ptr<const document::service_document> document);
+    void set_shed(std::vector<std::string> classes) { shed_ = std::move(classes); }
+    void set_leaving(instance_id instance, bool leaving) { monitor_.set_leaving(instance, leaving); }
+
+    /// No new request is taken from now on; what is in progress ends in its time.
+    void drain() { draining_ = true; }
+
+    /**
+     * Returns true if nothing is in progress.
+     */
+    [[nodiscard]] bool is_idle() const { return requests_.empty() && transactions_.size() == 0; }
+
+    [[nodiscard]] const home_counters &counters() const { return counters_; }
+    [[nodiscard]] const group_monitor &monitor() const { return monitor_; }
+    [[nodiscard]] const connection_pool &connections() const { return pool_; }
+    [[nodiscard]] const admission::request_queue &queue() const { return queue_; }
+    [[nodiscard]] const document::service_document &document() const { return *document_; }
+    [[nodiscard]] const home_settings &settings() const { return settings_; }
+    [[nodiscard]] std::size_t held() const { return held_.size(); }
+    [[nodiscard]] std::size_t open_transactions() const { return transactions_.size(); }
+    [[nodiscard]] consistency::position acknowledged_floor() const { return acknowledged_; }
+    [[nodiscard]] time_point last_request() const { return last_request_; }
+
+    void set_defects(const home_defects &home, const failover::failover_defects &failover);
+
+private:
+    enum class phase_kind : std::uint8_t
+    {
+        queued,
+        joined_first, ///< waits for the first request of the same id
+        joined_read,  ///< waits for an identical read
+        running,
+        held,
+    };
+
+    struct request_state
+    {
+        inner::statement_request request;
+        document::class_policy policy;
+        time_point arrived;
+        time_point deadline;
+        phase_kind phase = phase_kind::queued;
+        std::uint32_t tries = 0; ///< times sent upstream with an outcome that was not `refused`
+        consistency::position floor;
+        bool sure = false;
+        time_point sure_since;
+        time_point sent_at;
+        connection_id connection = 0;
+        call_id call = 0;
+        time_point as_of;               ///< reads: data up to this time is in the answer
+        std::string ledger_id;          ///< set on the first request of an id
+        std::string question;           ///< set on a read that leads or waits for identical ones
+        inner::statement_answer answer; ///< while held
+    };
+
+    struct deadline_entry
+    {
+        time_point at;
+        request_key key = 0;
+        auto operator<=>(const deadline_entry &) const = default;
+    };
+
+    // database_home.cpp: taking requests in and answering them
+    void admit(request_key key, request_state &state, time_point now);
+    [[nodiscard]] std::string refusal(const request_state &state, time_point now) const;
+    void set_freshness(request_state &state, time_point now) const;
+    [[nodiscard]] bool join_first(request_key key, request_state &state, time_point now);
+    [[nodiscard]] bool join_read(request_key key, request_state &state, time_point now);
+    void enqueue(request_key key, request_state &state, time_point now, bool at_head);
+    void finish(request_key key, inner::statement_answer answer, time_point now);
+    void finish_as(request_key key, consistency::verdict outcome, const std::string &reason, time_point now,
+                   std::chrono::milliseconds retry_after = std::chrono::milliseconds(0));
+    void note_outcome(const request_state &state, const inner::statement_answer &answer, time_point now);
+    void end_sharing(request_key key, const request_state &state, const inner::statement_answer &answer,
+                     time_point now);
+    void expire(time_point now);
+    void expire_one(request_key key, time_point now);
+    [[nodiscard]] bool is_shed(const std::string &class_name) const;
+    [[nodiscard]] std::chrono::microseconds expected_wait(document::priority_kind priority) const;
+    [[nodiscard]] std::chrono::milliseconds replication_lag(time_point now) const;
+
+    // database_home_dispatch.cpp: from the queue to the instances
+    void dispatch(time_point now);
+    [[nodiscard]] std::optional<connection_id> choose_connection(const request_state &state,
+                                                                 time_point now) const;
+    [[nodiscard]] std::optional<connection_id> choose_for_write(const request_state &state) const;
+    [[nodiscard]] std::optional<connection_id> choose_for_read(const request_state &state,
+                                                               time_point now) const;
+    [[nodiscard]] std::optional<connection_id> choose_plain(const request_state &state) const;
+    [[nodiscard]] consistency::instance_room room_of(instance_id instance) const;
+    [[nodiscard]] std::uint32_t slots_of_class(const std::string &class_name) const;
+    void send(request_key key, request_state &state, connection_id connection, time_point now);
+    void open_connections(time_point now);
+    void close(connection_id id, time_point now);
+
+    // database_home_results.cpp: what the instances answered
+    void take_ran(request_key key, request_state &state, instance_id instance, const upstream_result &result,
+                  time_point now);
+    void take_refused(request_key key, request_state &state, instance_id instance,
+                      const upstream_result &result, time_point now);
+    void take_lost(request_key key, time_point now);
+    void retry(request_key key, request_state &state, time_point now);
+    void drop_orphans(time_point now);
+    void close_failed(time_point now);
+    void take_transaction_step(request_key key, request_state &state, instance_id instance,
+                               const upstream_result &result, time_point now);
+    void hold_or_finish(request_key key, request_state &state, time_point now);
+    void release_held(time_point now);
+    void take_promotion(const failover::failover_step::promotion &promoted, time_point now);
+    void release(const std::vector<consistency::held_answers::release> &released, time_point now);
+    [[nodiscard]] bool may_retry(const request_state &state, time_point now);
+    [[nodiscard]] bool writes_in_progress() const;
+
+    home_settings settings_;
+    home_hooks hooks_;
+    std::shared_ptr<const document::service_document> document_;
+    home_defects defects_;
+    group_monitor monitor_;
+    connection_pool pool_;
+    admission::request_queue queue_;
+    admission::duration_estimator durations_;
+    admission::retry_budget retries_;
+    admission::request_ledger ledger_;
+    admission::read_sharing sharing_;
+    consistency::session_memory sessions_;
+    consistency::held_answers held_;
+    transaction_table transactions_;
+    std::map<request_key, request_state> requests_;
+    std::set<deadline_entry> deadlines_; ///< one element for each of `requests_`
+    std::map<std::string, std::uint32_t> running_by_class_;
+    consistency::position acknowledged_; ///< never falls; all acknowledged writes are at or below it
+    std::optional<consistency::position> takeover_floor_; ///< at or past all acknowledged before this home
+    bool draining_ = false;
+    bool dispatching_ = false;
+    std::map<call_id, request_key> calls_; ///< in flight and waited for
+    call_id next_call_ = 1;
+    std::uint64_t next_transaction_ = 1;
+    mutable std::uint32_t plain_turn_ = 0;
+    time_point last_request_;
+    time_point last_expiry_;
+    std::vector<std::string> shed_;
+    home_counters counters_;
+};
+
+} // namespace baobabport::home
--- /dev/null
+++ b/src/home/database_home_dispatch.cpp
@@ -0,0 +1,248 @@
+// From the queue to the instances.
+
+#include "home/database_home.h"
+
+#include <algorithm>
+
+namespace baobabport::home {
+
+using document::access_kind;
+using inner::transaction_step;
+
+namespace {
+
+/// A call that nobody waits for any more keeps its slot for this long, then its connection is closed.
+constexpr std::chrono::seconds abandoned_for{2};
+
+} // namespace
+
+void database_home::tick(time_point now)
+{
+    expire(now);
+    close_failed(now);
+    for (const auto id : pool_.to_close(abandoned_for, now))
+        close(id, now);
+    for (const auto id : transactions_.idle_longer_than(document_->limits.transaction_idle, now)) {
+        const auto *it = pool_.find(id);
+        if (it && it->state == connection_pool::state_kind::pinned)
+            close(id, now);
+    }
+    for (const auto &[call, key] : calls_) {
+        const auto &state = requests_.at(key);
+        const auto so_far = std::chrono::duration_cast<std::chrono::microseconds>(now - state.sent_at);
+        if (so_far >= document_->limits.long_after)
+            durations_.running(state.request.statement, so_far);
+    }
+
+    monitor_needs needs;
+    needs.busy =
+        !requests_.empty() || transactions_.size() > 0 || !takeover_floor_ || !monitor_.writable_primary();
+    needs.wait_for = held_.highest(monitor_.view().primary_term());
+    needs.confirmation = held_.wants_confirmation(monitor_.view());
+    needs.may_hand_over = !writes_in_progress() && transactions_.size() == 0;
+    if (const auto promoted = monitor_.tick(needs, document_->failover, hooks_, now))
+        take_promotion(*promoted, now);
+    if (!takeover_floor_)
+        takeover_floor_ = monitor_.view().majority_floor();
+
+    release_held(now);
+    open_connections(now);
+    dispatch(now);
+}
+
+bool database_home::writes_in_progress() const
+{
+    if (held_.size() > 0)
+        return true;
+    return std::any_of(calls_.begin(), calls_.end(), [&](const auto &it) {
+        const auto &state = requests_.at(it.second);
+        return state.policy.access == access_kind::write || state.request.step != transaction_step::none;
+    });
+}
+
+void database_home::open_connections(time_point now)
+{
+    std::vector<bool> may_open(settings_.instances.size());
+    const auto primary = monitor_.view().primary();
+    for (instance_id it = 0; it < may_open.size(); ++it) {
+        const bool leaves = monitor_.leaving(it) && it != primary;
+        may_open[it] = !leaves && monitor_.view().last_answer(it) && monitor_.healthy(it) && !draining_;
+    }
+    for (const auto &it : pool_.open_wanted(may_open, now))
+        hooks_.open_connection(it.id, it.instance);
+}
+
+void database_home::dispatch(time_point now)
+{
+    if (dispatching_)
+        return; // an answer's hook came back with a new request; the outer call goes on
+    dispatching_ = true;
+    std::optional<connection_id> chosen;
+    const auto eligible = [&](const admission::queued_request &item) {
+        chosen = choose_connection(requests_.at(item.key), now);
+        return chosen.has_value();
+    };
+    while (const auto next = queue_.take(eligible, document_->limits, now))
+        send(next->key, requests_.at(next->key), *chosen, now);
+    dispatching_ = false;
+}
+
+std::optional<connection_id> database_home::choose_connection(const request_state &state,
+                                                              time_point now) const
+{
+    const auto &request = state.request;
+    if (request.step == transaction_step::statement || request.step == transaction_step::commit ||
+        request.step == transaction_step::rollback) {
+        const auto *it = transactions_.find(request.transaction, request.caller);
+        const auto *connection = it ? pool_.find(it->connection) : nullptr;
+        if (!connection || connection->state != connection_pool::state_kind::pinned)
+            return std::nullopt;
+        if (pool_.running(it->instance) >= pool_.slots())
+            return std::nullopt;
+        return it->connection;
+    }
+    if (state.policy.max_slots > 0 && slots_of_class(request.class_name) >= state.policy.max_slots)
+        return std::nullopt;
+    if (state.policy.access == access_kind::write || request.step == transaction_step::begin)
+        return choose_for_write(state);
+    if (settings_.policy == policy_kind::plain)
+        return choose_plain(state);
+    return choose_for_read(state, now);
+}
+
+std::uint32_t database_home::slots_of_class(const std::string &class_name) const
+{
+    const auto it = running_by_class_.find(class_name);
+    return it == running_by_class_.end() ? 0 : it->second;
+}
+
+std::optional<connection_id> database_home::choose_for_write(const request_state &state) const
+{
+    const auto primary = monitor_.writable_primary();
+    if (!primary || pool_.running(*primary) >= pool_.slots())
+        return std::nullopt;
+    (void)state;
+    if (defects_.share_pinned) {
+        for (const auto &it : pool_.of_instance(*primary)) {
+            if (it.state == connection_pool::state_kind::pinned)
+                return it.id;
+        }
+    }
+    return pool_.idle(*primary);
+}
+
+consistency::instance_room database_home::room_of(instance_id instance) const
+{
+    consistency::instance_room room;
+    const auto running = pool_.running(instance);
+    room.slots = pool_.slots();
+    room.free_slots = running < room.slots ? room.slots - running : 0;
+    room.long_running = pool_.long_running(instance);
+    room.long_slots = std::min(document_->limits.long_slots, room.slots);
+    room.usable = monitor_.usable(instance) && pool_.idle(instance);
+    return room;
+}
+
+std::optional<connection_id> database_home::choose_for_read(const request_state &state, time_point now) const
+{
+    consistency::read_needs needs;
+    needs.floor = defects_.ignore_floor ? consistency::position{} : state.floor;
+    needs.staleness = state.policy.staleness;
+    needs.sure = state.sure;
+    needs.long_work = durations_.is_long(state.request.statement, document_->limits.long_after);
+    needs.urgent = now - state.arrived >= document_->limits.ageing;
+    std::vector<consistency::instance_room> rooms;
+    for (instance_id it = 0; it < settings_.instances.size(); ++it)
+        rooms.push_back(room_of(it));
+    if (needs.sure) {
+        // A primary that leaves still answers for itself until another one is promoted.
+        if (const auto primary = monitor_.writable_primary())
+            rooms[*primary].usable = pool_.idle(*primary).has_value();
+    }
+    const auto choice = consistency::choose_instance(monitor_.view(), rooms, needs, now);
+    if (!choice.instance)
+        return std::nullopt;
+    return pool_.idle(*choice.instance);
+}
+
+std::optional<connection_id> database_home::choose_plain(const request_state &state) const
+{
+    const auto &view = monitor_.view();
+    const auto primary = view.primary();
+    if (!primary)
+        return std::nullopt;
+    const auto n = static_cast<instance_id>(settings_.instances.size());
+    for (instance_id step = 0; step < n; ++step) {
+        const auto it = (plain_turn_ + step) % n;
+        if (it == *primary || state.sure || view.log_of(it) < view.log_of(*primary))
+            continue;
+        if (view.log_of(it) < state.floor || !monitor_.usable(it))
+            continue;
+        if (const auto connection = pool_.idle(it)) {
+            plain_turn_ = it + 1;
+            return connection;
+        }
+    }
+    return pool_.idle(*primary);
+}
+
+void database_home::send(request_key key, request_state &state, connection_id connection, time_point now)
+{
+    const auto instance = pool_.find(connection)->instance;
+    const auto &request = state.request;
+    const auto &view = monitor_.view();
+    state.phase = phase_kind::running;
+    state.sent_at = now;
+    state.connection = connection;
+    state.call = next_call_++;
+    ++state.tries;
+    state.as_of = {};
+    if (instance == view.primary())
+        state.as_of = now;
+    else if (const auto age = view.staleness(instance, now))
+        state.as_of = now - *age;
+
+    upstream_call call;
+    call.connection = connection;
+    call.call = state.call;
+    call.instance = instance;
+    call.write = state.policy.access == access_kind::write;
+    call.step = request.step;
+    const bool needs_primary = call.write || request.step != transaction_step::none;
+    call.term = needs_primary || state.sure ? view.primary_term() : 0;
+    call.statement = request.statement;
+    call.arguments = request.arguments;
+    const bool identified =
+        request.step == transaction_step::none ? call.write : request.step == transaction_step::commit;
+    if (identified && !request.request_id.empty() && !defects_.forget_request_ids)
+        call.request_id = request.request_id;
+
+    const bool is_long = !call.write && durations_.is_long(request.statement, document_->limits.long_after);
+    pool_.begin_call(connection, state.call, is_long, now);
+    calls_[state.call] = key;
+    ++running_by_class_[request.class_name];
+    if (!request.transaction.empty())
+        transactions_.touch(request.transaction, now);
+    hooks_.call(call);
+}
+
+void database_home::close(connection_id id, time_point now)
+{
+    hooks_.close_connection(id);
+    connection_lost(id, now);
+}
+
+void database_home::close_failed(time_point now)
+{
+    for (instance_id it = 0; it < settings_.instances.size(); ++it) {
+        const bool failed = monitor_.failed(it, document_->failover, now);
+        const bool left = monitor_.leaving(it) && it != monitor_.view().primary();
+        for (const auto &connection : pool_.of_instance(it)) {
+            const bool unused = connection.state == connection_pool::state_kind::idle;
+            if (failed || (left && unused))
+                close(connection.id, now);
+        }
+    }
+}
+
+} // namespace baobabport::home
--- /dev/null
+++ b/src/home/database_home_results.cpp
@@ -0,0 +1,332 @@
+// What the instances answered.
+
+#include "home/database_home.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabport::home {
+
+using consistency::verdict;
+using document::access_kind;
+using inner::transaction_step;
+
+namespace {
+
+/// Refusals by an instance that is not, or no longer, the primary of the call's term.
+bool is_term_refusal(const std::string &reason)
+{
+    return reason == "not_primary" || reason == "wrong_term";
+}
+
+bool is_read(const inner::statement_request &request, const document::class_policy &policy)
+{
+    return policy.access == access_kind::read && request.step == transaction_step::none;
+}
+
+} // namespace
+
+void database_home::connection_opened(connection_id id, time_point now)
+{
+    pool_.opened(id, now);
+    dispatch(now);
+}
+
+void database_home::connection_failed(connection_id id, bool refused, time_point now)
+{
+    const auto *it = pool_.find(id);
+    if (!it)
+        return;
+    const auto instance = it->instance;
+    pool_.open_failed(id, now);
+    monitor_.suspect(instance, refused, now);
+}
+
+void database_home::connection_lost(connection_id id, time_point now)
+{
+    const auto gone = pool_.remove(id);
+    if (!gone)
+        return;
+    monitor_.suspect(gone->instance, false, now);
+    const auto call = calls_.find(gone->call);
+    const auto key = call == calls_.end() ? std::optional<request_key>() : call->second;
+    if (key) {
+        calls_.erase(call);
+        --running_by_class_[requests_.at(*key).request.class_name];
+        take_lost(*key, now);
+    }
+    if (gone->in_transaction) {
+        transactions_.connection_lost(id);
+        drop_orphans(now);
+    }
+}
+
+void database_home::drop_orphans(time_point now)
+{
+    std::vector<request_key> orphans;
+    for (const auto &[key, state] : requests_) {
+        const auto &request = state.request;
+        const bool waits = state.phase == phase_kind::queued && !request.transaction.empty();
+        if (waits && !transactions_.find(request.transaction, request.caller))
+            orphans.push_back(key);
+    }
+    // The connection ended before these were sent, so the transaction was rolled back.
+    for (const auto key : orphans)
+        finish_as(key, verdict::not_run, "transaction_rolled_back", now);
+}
+
+void database_home::take_lost(request_key key, time_point now)
+{
+    auto &state = requests_.at(key);
+    const auto step = state.request.step;
+    if (step == transaction_step::begin || step == transaction_step::statement ||
+        step == transaction_step::rollback) {
+        finish_as(key, verdict::not_run, "transaction_rolled_back", now);
+        return;
+    }
+    if (may_retry(state, now)) {
+        retry(key, state, now);
+        return;
+    }
+    finish_as(key, defects_.lost_is_not_run ? verdict::not_run : verdict::unknown, "connection_lost", now);
+}
+
+bool database_home::may_retry(const request_state &state, time_point now)
+{
+    if (defects_.retry_after_send)
+        return true;
+    if (now >= state.deadline || state.request.step != transaction_step::none)
+        return false;
+    const bool read = is_read(state.request, state.policy);
+    if (!read && (!state.policy.repeatable || state.tries > state.policy.retries))
+        return false;
+    return retries_.take();
+}
+
+void database_home::retry(request_key key, request_state &state, time_point now)
+{
+    ++counters_.retries;
+    enqueue(key, state, now, true);
+}
+
+void database_home::take(connection_id connection, const upstream_result &result, time_point now)
+{
+    const auto *it = pool_.find(connection);
+    if (!it)
+        return;
+    const auto call = calls_.find(result.call);
+    const bool matched =
+        it->state == connection_pool::state_kind::busy && it->call == result.call && call != calls_.end();
+    if (!matched) {
+        // Late, crossed or repeated: what else may still arrive there is not known.
+        if (defects_.reuse_after_late)
+            pool_.end_call(connection, now);
+        else
+            close(connection, now);
+        return;
+    }
+    if (result.outcome == call_outcome::lost) {
+        close(connection, now);
+        return;
+    }
+    const auto instance = it->instance;
+    const auto key = call->second;
+    calls_.erase(call);
+    auto &state = requests_.at(key);
+    --running_by_class_[state.request.class_name];
+    durations_.finished(state.request.statement,
+                        std::chrono::duration_cast<std::chrono::microseconds>(now - state.sent_at));
+    pool_.end_call(connection, now);
+    if (state.request.step != transaction_step::none)
+        take_transaction_step(key, state, instance, result, now);
+    else if (result.outcome == call_outcome::refused)
+        take_refused(key, state, instance, result, now);
+    else
+        take_ran(key, state, instance, result, now);
+    release_held(now);
+    dispatch(now);
+}
+
+void database_home::take_refused(request_key key, request_state &state, instance_id instance,
+                                 const upstream_result &result, time_point now)
+{
+    --state.tries;
+    if (!is_term_refusal(result.reason)) {
+        finish_as(key, state.tries == 0 ? verdict::not_run : verdict::unknown, result.reason, now);
+        return;
+    }
+    monitor_.not_primary(instance, now);
+    enqueue(key, state, now, true);
+}
+
+void database_home::take_ran(request_key key, request_state &state, instance_id instance,
+                             const upstream_result &result, time_point now)
+{
+    const bool read = is_read(state.request, state.policy);
+    if (!result.repeated)
+        monitor_.heard(instance, result.at, state.sent_at);
+    if (read && result.at < state.floor && !defects_.deliver_old_reads) {
+        monitor_.suspect(instance, false, now);
+        retry(key, state, now);
+        return;
+    }
+    auto &answer = state.answer;
+    answer.outcome = verdict::ran;
+    answer.rows = result.rows;
+    answer.at = result.at;
+    answer.served_by = settings_.instances[instance];
+    answer.by_replica = monitor_.view().primary() != instance;
+    if (read)
+        ++(answer.by_replica ? counters_.reads_by_replica : counters_.reads_by_primary);
+    hold_or_finish(key, state, now);
+}
+
+void database_home::take_transaction_step(request_key key, request_state &state, instance_id instance,
+                                          const upstream_result &result, time_point now)
+{
+    const auto step = state.request.step;
+    const auto connection = state.connection;
+    if (result.outcome == call_outcome::refused) {
+        if (step == transaction_step::begin && is_term_refusal(result.reason)) {
+            take_refused(key, state, instance, result, now);
+            return;
+        }
+        const auto reason = result.reason;
+        if (step != transaction_step::begin)
+            close(connection, now); // its end rolls the transaction back
+        finish_as(key, verdict::not_run, reason, now);
+        return;
+    }
+    state.answer.outcome = verdict::ran;
+    state.answer.rows = result.rows;
+    state.answer.at = result.at;
+    state.answer.served_by = settings_.instances[instance];
+    state.answer.transaction = state.request.transaction;
+    if (step == transaction_step::begin) {
+        const auto id = settings_.database + '.' + std::to_string(settings_.vm_number) + '.' +
+                        std::to_string(now.time_since_epoch().count()) + '.' +
+                        std::to_string(next_transaction_++);
+        transactions_.add(
+            {id, connection, instance, monitor_.view().primary_term(), state.request.caller, now});
+        pool_.pin(connection);
+        pool_.end_call(connection, now);
+        state.answer.transaction = id;
+    }
+    const bool ends = step == transaction_step::commit || step == transaction_step::rollback;
+    if (ends) {
+        transactions_.remove(state.request.transaction);
+        pool_.unpin(connection);
+        pool_.end_call(connection, now);
+    }
+    if (step == transaction_step::commit) {
+        if (!result.repeated)
+            monitor_.heard(instance, result.at, state.sent_at);
+        hold_or_finish(key, state, now);
+        return;
+    }
+    // Statements within the transaction show nothing to others; their answers are provisional.
+    finish(key, state.answer, now);
+}
+
+void database_home::hold_or_finish(request_key key, request_state &state, time_point now)
+{
+    const bool effect = !is_read(state.request, state.policy);
+    const bool relaxed = effect && state.policy.durability == document::durability_kind::primary;
+    const bool plain = settings_.policy == policy_kind::plain;
+    if (defects_.acknowledge_at_once || relaxed || plain) {
+        retries_.succeeded(document_->limits.retry_percent);
+        finish(key, state.answer, now);
+        return;
+    }
+    auto at = state.answer.at;
+    const auto term = monitor_.view().primary_term();
+    if (effect && at.term < term) {
+        // A repeated request: its first run is part of the term's log, which starts past it.
+        at.term = term;
+    }
+    if (!effect && at.term < term && monitor_.view().durable_position(at.term) < at) {
+        monitor_.suspect(monitor_.view().primary().value_or(0), false, now);
+        retry(key, state, now);
+        return;
+    }
+    std::optional<time_point> confirm_since;
+    if (state.sure && !defects_.unconfirmed_sure_reads)
+        confirm_since = state.sure_since;
+    state.phase = phase_kind::held;
+    held_.hold(key, at, state.deadline, confirm_since);
+}
+
+void database_home::take(const command_result &result, time_point now)
+{
+    monitor_.take(result, now);
+    release_held(now);
+    tick(now);
+}
+
+void database_home::take(const inner::view_answer &answer, time_point now)
+{
+    monitor_.take(answer, document_->failover, now);
+    tick(now);
+}
+
+void database_home::take_promotion(const failover::failover_step::promotion &promoted, time_point now)
+{
+    ++counters_.promotions;
+    hooks_.publish({settings_.database, promoted.term, promoted.primary});
+    if (!defects_.ignore_rebase)
+        release(held_.rebase(promoted.base, promoted.term), now);
+    // What still runs on another instance as on a primary cannot be kept any more.
+    for (instance_id it = 0; it < settings_.instances.size(); ++it) {
+        if (it == promoted.primary)
+            continue;
+        for (const auto &connection : pool_.of_instance(it)) {
+            const auto call = calls_.find(connection.call);
+            const bool write = call != calls_.end() && !is_read(requests_.at(call->second).request,
+                                                                requests_.at(call->second).policy);
+            if (write || connection.in_transaction)
+                close(connection.id, now);
+        }
+    }
+}
+
+void database_home::release_held(time_point now)
+{
+    if (held_.size() == 0)
+        return;
+    const auto &view = monitor_.view();
+    release(held_.collect(view, now), now);
+    const bool promoting = monitor_.controller().current() != failover::failover_controller::phase::steady;
+    if (!promoting && !defects_.ignore_rebase)
+        release(held_.take_superseded(view.primary_term()), now);
+}
+
+void database_home::release(const std::vector<consistency::held_answers::release> &released, time_point now)
+{
+    using consistency::release_kind;
+    for (const auto &it : released) {
+        const auto found = requests_.find(it.id);
+        if (found == requests_.end() || found->second.phase != phase_kind::held)
+            continue;
+        auto &state = found->second;
+        const bool read = is_read(state.request, state.policy);
+        switch (it.kind) {
+        case release_kind::durable:
+            retries_.succeeded(document_->limits.retry_percent);
+            if (!read)
+                acknowledged_ = std::max(acknowledged_, state.answer.at);
+            finish(it.id, state.answer, now);
+            break;
+        case release_kind::expired:
+            finish_as(it.id, verdict::unknown, "not_replicated_in_time", now);
+            break;
+        case release_kind::lost:
+            if (read)
+                retry(it.id, state, now);
+            else
+                finish_as(it.id, verdict::unknown, "primary_replaced", now);
+            break;
+        }
+    }
+}
+
+} // namespace baobabport::home
--- /dev/null
+++ b/src/home/group_monitor.cpp
@@ -0,0 +1,140 @@
+#include "home/group_monitor.h"
+
+#include <utility>
+
+namespace baobabport::home {
+
+namespace {
+
+/// Questions follow each other this much faster while the primary is in doubt.
+constexpr int unsettled_speed_up = 4;
+constexpr std::chrono::milliseconds confirmation_spacing{5};
+constexpr std::chrono::milliseconds position_wait{250};
+
+} // namespace
+
+group_monitor::group_monitor(std::string database, std::size_t instances, std::uint32_t vm_number,
+                             std::uint64_t seed)
+    : view_(instances), health_(instances), leaving_(instances, false), probes_(instances),
+      controller_(std::move(database), instances, vm_number, seed)
+{
+}
+
+std::optional<failover::failover_step::promotion> group_monitor::tick(const monitor_needs &needs,
+                                                                      const document::failover_policy &policy,
+                                                                      const home_hooks &hooks, time_point now)
+{
+    probe(needs, policy, hooks, now);
+    if (needs.wait_for)
+        wait_for_position(*needs.wait_for, hooks);
+    auto step = controller_.step(view_, health_, leaving_, needs.may_hand_over, policy, now);
+    for (const auto &it : step.commands)
+        send(it, hooks);
+    if (step.ask_peer)
+        hooks.ask_peer(*step.ask_peer);
+    return step.promoted;
+}
+
+void group_monitor::send(instance_command command, const home_hooks &hooks)
+{
+    command.id = next_command_++;
+    hooks.command(command);
+}
+
+void group_monitor::probe(const monitor_needs &needs, const document::failover_policy &policy,
+                          const home_hooks &hooks, time_point now)
+{
+    if (!needs.busy && !needs.confirmation)
+        return;
+    const bool settled = writable_primary().has_value();
+    for (instance_id it = 0; it < probes_.size(); ++it) {
+        auto &state = probes_[it];
+        if (state.asked || now < state.next_at)
+            continue;
+        auto spacing = policy.probe_interval;
+        if (!settled)
+            spacing /= unsettled_speed_up;
+        if (needs.confirmation)
+            spacing = confirmation_spacing;
+        state.asked = true;
+        state.next_at = now + spacing;
+        send({command_kind::status, it, 0, {}, policy.command_timeout, 0}, hooks);
+    }
+}
+
+void group_monitor::wait_for_position(consistency::position target, const home_hooks &hooks)
+{
+    const auto primary = view_.primary();
+    for (instance_id it = 0; it < probes_.size(); ++it) {
+        if (it == primary || probes_[it].waiting || !health_[it].healthy() || view_.log_of(it) >= target)
+            continue;
+        probes_[it].waiting = true;
+        send({command_kind::status, it, 0, target, position_wait, 0}, hooks);
+    }
+}
+
+void group_monitor::take(const command_result &result, time_point now)
+{
+    const auto instance = result.command.instance;
+    const bool was_wait = result.command.wait_for != consistency::position{};
+    if (result.command.kind == command_kind::status) {
+        if (was_wait)
+            probes_[instance].waiting = false;
+        else
+            probes_[instance].asked = false;
+    }
+    switch (result.outcome) {
+    case command_outcome::answered:
+        // A wait's answer is as young as its end, but it is only known to be younger than its question.
+        view_.observe(instance, result.status, result.asked_at);
+        health_[instance].answered(result.asked_at);
+        break;
+    case command_outcome::refused_connection:
+        health_[instance].refused(now);
+        break;
+    case command_outcome::timed_out:
+        health_[instance].unanswered(result.asked_at);
+        break;
+    }
+    controller_.take(result, now);
+}
+
+void group_monitor::take(const inner::view_answer &answer, const document::failover_policy &policy,
+                         time_point now)
+{
+    controller_.take(answer, policy, now);
+}
+
+void group_monitor::heard(instance_id instance, consistency::position log, time_point asked_at)
+{
+    view_.observe_position(instance, log, asked_at);
+    health_[instance].answered(asked_at);
+}
+
+void group_monitor::suspect(instance_id instance, bool refused, time_point now)
+{
+    if (refused)
+        health_[instance].refused(now);
+    probes_[instance].next_at = now;
+}
+
+void group_monitor::not_primary(instance_id instance, time_point now)
+{
+    view_.demote(instance);
+    probes_[instance].next_at = now;
+}
+
+std::optional<instance_id> group_monitor::writable_primary() const
+{
+    const auto primary = view_.primary();
+    if (!primary || view_.primary_term() < view_.highest_term())
+        return std::nullopt;
+    if (!health_[*primary].healthy() || controller_.handing_over())
+        return std::nullopt;
+    if (controller_.current() != failover::failover_controller::phase::steady &&
+        controller_.current() != failover::failover_controller::phase::waiting)
+        return std::nullopt;
+    return primary;
+}
+
+} // namespace baobabport::home
--- /dev/null
+++ b/src/http/http_server.cpp
@@ -0,0 +1,243 @@
+#include "http/http_server.h"
+
+#include <event2/buffer.h>
+#include <evhtp/evhtp.h>
+#include <map>
+#include <netinet/tcp.h>
+#include <stdexcept>
+#include <sys/socket.h>
+
+namespace baobabport::http {
+
+namespace {
+
+constexpr int listen_backlog = 4096;
+
+std::string header_of(evhtp_request_t *request, const char *name)
+{
+    const char *const value = evhtp_header_find(request->headers_in, name);
+    return value ? value : std::string();
+}
+
+method_kind method_of(evhtp_request_t *request)
+{
+    switch (evhtp_request_get_method(request)) {
+    case htp_method_GET:
+        return method_kind::get;
+    case htp_method_POST:
+        return method_kind::post;
+    case htp_method_PUT:
+        return method_kind::put;
+    default:
+        return method_kind::other;
+    }
+}
+
+/// evhtp keeps hooks of all kinds under one function type.
+template <typename Function>
+evhtp_hook to_hook(Function *function)
+{
+    return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(function));
+}
+
+/// A request's way back; loses its request when the caller goes.
+class evhtp_responder : public responder
+{
+public:
+    explicit evhtp_responder(evhtp_request_t *request) : request_(request) {}
+
+    void send(const server_reply &reply) override
+    {
+        if (!request_)
+            return;
+        auto *const request = request_;
+        request_ = nullptr;
+        evbuffer_add(request->buffer_out, reply.body.data(), reply.body.size());
+        add_header(request, "Content-Type", reply.content_type);
+        for (const auto &it : reply.headers)
+            add_header(request, it.name.c_str(), it.value);
+        evhtp_send_reply(request, static_cast<evhtp_res>(reply.status));
+        if (paused_)
+            evhtp_request_resume(request);
+    }
+
+    /// Keeps the request open after the handler returned without an answer.
+    void pause(const std::shared_ptr<evhtp_responder> &shared)
+    {
+        if (!request_)
+            return;
+        paused_ = true;
+        evhtp_request_set_hook(request_, evhtp_hook_on_request_fini, to_hook(request_gone),
+                               new std::shared_ptr<evhtp_responder>(shared));
+        evhtp_request_pause(request_);
+    }
+
+private:
+    static void add_header(evhtp_request_t *request, const char *name, const std::string &value)
+    {
+        evhtp_headers_add_header(request->headers_out, evhtp_header_new(name, value.c_str(), 1, 1));
+    }
+
+    static evhtp_res request_gone(evhtp_request_t * /*request*/, void *arg)
+    {
+        auto *const self = static_cast<std::shared_ptr<evhtp_responder> *>(arg);
+        (*self)->request_ = nullptr;
+        delete self;
+        return EVHTP_RES_OK;
+    }
+
+    evhtp_request_t *request_;
+    bool paused_ = false;
+};
+
+} // namespace
+
+std::string server_request::query_value(std::string_view name) const
+{
+    std::size_t at = 0;
+    while (at < query.size()) {
+        auto end = query.find('&', at);
+        if (end == std::string::npos)
+            end = query.size();
+        const std::string_view part(query.data() + at, end - at);
+        const auto equals = part.find('=');
+        if (part.substr(0, equals) == name && equals != std::string_view::npos)
+            return std::string(part.substr(equals + 1));
+        at = end + 1;
+    }
+    return {};
+}
+
+class http_server::impl
+{
+public:
+    impl(event_base *base, const support::address &at, std::size_t max_body, handler handle)
+        : handle_(std::move(handle)), htp_(evhtp_new(base, nullptr))
+    {
+        evhtp_set_max_body_size(htp_, max_body);
+        evhtp_set_gencb(htp_, on_request, this);
+        evhtp_set_post_accept_cb(htp_, on_accept, this);
+        if (evhtp_bind_socket(htp_, at.ip.c_str(), at.port, listen_backlog) != 0) {
+            evhtp_free(htp_);
+            throw std::runtime_error("cannot listen on " + at.text());
+        }
+    }
+
+    ~impl()
+    {
+        cut_connections();
+        stop_listening();
+        // The connections' objects end with the event loop, after this object.
+        for (auto &[id, connection] : connections_)
+            evhtp_connection_unset_hook(connection, evhtp_hook_on_connection_fini);
+    }
+    impl(const impl &) = delete;
+    impl &operator=(const impl &) = delete;
+
+    void stop_listening()
+    {
+        if (!listening_)
+            return;
+        listening_ = false;
+        evhtp_unbind_socket(htp_);
+    }
+
+    void cut_connections()
+    {
+        for (const auto &[id, connection] : connections_)
+            ::shutdown(connection->sock, SHUT_RDWR);
+    }
+
+    handler handle_;
+    connection_hook connection_end_;
+    std::map<std::uint64_t, evhtp_connection_t *> connections_;
+
+private:
+    /// What a connection's hooks know.
+    struct connection_context
+    {
+        impl *server = nullptr;
+        std::uint64_t id = 0;
+    };
+
+    static evhtp_res on_accept(evhtp_connection_t *connection, void *self)
+    {
+        auto *const me = static_cast<impl *>(self);
+        auto *const context = new connection_context{me, me->next_id_++};
+        me->connections_[context->id] = connection;
+        const int on = 1;
+        setsockopt(connection->sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini, to_hook(on_connection_fini),
+                                  context);
+        return EVHTP_RES_OK;
+    }
+
+    static evhtp_res on_connection_fini(evhtp_connection_t * /*connection*/, void *arg)
+    {
+        const std::unique_ptr<connection_context> context(static_cast<connection_context *>(arg));
+        context->server->connections_.erase(context->id);
+        if (context->server->connection_end_)
+            context->server->connection_end_(context->id);
+        return EVHTP_RES_OK;
+    }
+
+    [[nodiscard]] std::uint64_t id_of(const evhtp_connection_t *connection) const
+    {
+        for (const auto &[id, it] : connections_) {
+            if (it == connection)
+                return id;
+        }
+        return 0;
+    }
+
+    static void on_request(evhtp_request_t *request, void *self)
+    {
+        auto *const me = static_cast<impl *>(self);
+        server_request out;
+        out.method = method_of(request);
+        if (request->uri->path->full)
+            out.path = request->uri->path->full;
+        if (request->uri->query_raw)
+            out.query = reinterpret_cast<const char *>(request->uri->query_raw);
+        const auto n = evbuffer_get_length(request->buffer_in);
+        out.body.resize(n);
+        evbuffer_remove(request->buffer_in, out.body.data(), n);
+        out.session_token = header_of(request, session_header);
+        out.authorization = header_of(request, "Authorization");
+        out.user_agent = header_of(request, "User-Agent");
+        out.connection = me->id_of(request->conn);
+        const auto answer = std::make_shared<evhtp_responder>(request);
+        me->handle_(out, answer);
+        answer->pause(answer);
+    }
+
+    evhtp_t *htp_;
+    bool listening_ = true;
+    std::uint64_t next_id_ = 1;
+};
+
+http_server::http_server(event_base *base, const support::address &at, std::size_t max_body, handler handle)
+    : impl_(std::make_unique<impl>(base, at, max_body, std::move(handle)))
+{
+}
+
+http_server::~http_server() = default;
+
+void http_server::on_connection_end(connection_hook hook)
+{
+    impl_->connection_end_ = std::move(hook);
+}
+void http_server::stop_listening()
+{
+    impl_->stop_listening();
+}
+void http_server::cut_connections()
+{
+    impl_->cut_connections();
+}
+std::size_t http_server::open_connections() const
+{
+    return impl_->connections_.size();
+}
+
+} // namespace baobabport::http
--- /dev/null
+++ b/src/inner/stream_connection.cpp
@@ -0,0 +1,596 @@
+#include "inner/stream_connection.h"
+
+#include "inner/message_codec.h"
+#include "support/keys.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cstring>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <map>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <nghttp2/nghttp2.h>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace baobabport::inner {
+
+namespace {
+
+constexpr std::size_t nonce_size = 16;
+constexpr std::uint32_t max_streams = 20000;
+constexpr std::int32_t connection_window = 16 << 20;
+constexpr std::chrono::milliseconds hello_timeout{3000};
+
+struct kind_path
+{
+    message_kind kind;
+    const char *path;
+};
+constexpr std::array<kind_path, 5> kind_paths{{{message_kind::hello, "/hello"},
+                                               {message_kind::prove, "/prove"},
+                                               {message_kind::statement, "/statement"},
+                                               {message_kind::view, "/view"},
+                                               {message_kind::document, "/document"}}};
+
+const char *path_of(message_kind kind)
+{
+    const auto *const it = std::find_if(kind_paths.begin(), kind_paths.end(),
+                                        [&](const auto &entry) { return entry.kind == kind; });
+    return it->path;
+}
+
+nghttp2_nv header(const char *name, const char *value)
+{
+    return {reinterpret_cast<std::uint8_t *>(const_cast<char *>(name)),
+            reinterpret_cast<std::uint8_t *>(const_cast<char *>(value)), std::strlen(name),
+            std::strlen(value), NGHTTP2_NV_FLAG_NONE};
+}
+
+std::string proof_of(const std::string &key, const std::string &nonce, const char *role)
+{
+    return support::to_base64(support::hmac_sha256(key, nonce + '|' + role));
+}
+
+bool proves(const shared_keys &keys, const std::string &nonce, const char *role, const std::string &proof)
+{
+    if (support::equal_in_constant_time(proof, proof_of(keys.key, nonce, role)))
+        return true;
+    return !keys.former_key.empty() &&
+           support::equal_in_constant_time(proof, proof_of(keys.former_key, nonce, role));
+}
+
+timeval to_timeval(std::chrono::milliseconds value)
+{
+    return {static_cast<time_t>(value.count() / 1000), static_cast<suseconds_t>(value.count() % 1000 * 1000)};
+}
+
+} // namespace
+
+class stream_connection::impl
+{
+public:
+    impl(event_base *base, bool client, std::string process, shared_keys keys, hooks with)
+        : base_(base), client_(client), process_(std::move(process)), keys_(std::move(keys)),
+          hooks_(std::move(with)), nonce_(support::to_base64(support::random_bytes(nonce_size)))
+    {
+    }
+
+    ~impl()
+    {
+        for (auto &[id, it] : streams_) {
+            if (it.timer)
+                event_free(it.timer);
+        }
+        for (auto &it : waiting_) {
+            if (it.timer)
+                event_free(it.timer);
+        }
+        if (session_)
+            nghttp2_session_del(session_);
+        if (socket_)
+            bufferevent_free(socket_);
+        if (close_event_)
+            event_free(close_event_);
+    }
+    impl(const impl &) = delete;
+    impl &operator=(const impl &) = delete;
+
+    void start_client(const support::address &to)
+    {
+        socket_ = bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+        start_socket();
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(to.port);
+        inet_pton(AF_INET, to.ip.c_str(), &address.sin_addr);
+        if (bufferevent_socket_connect(socket_, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0)
+            close_soon("connect_failed");
+        start_session();
+        say_hello();
+    }
+
+    void start_server(int socket)
+    {
+        socket_ = bufferevent_socket_new(base_, socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+        const int on = 1;
+        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        start_socket();
+        start_session();
+        flush();
+    }
+
+    void send(message_kind kind, std::string body, std::chrono::milliseconds timeout, outcome_hook done)
+    {
+        outgoing it;
+        it.kind = kind;
+        it.body = std::move(body);
+        it.done = std::move(done);
+        if (closed_ || peer_stops_) {
+            it.done({false, false, {}});
+            return;
+        }
+        if (!trusted_) {
+            it.timeout = timeout;
+            waiting_.push_back(std::move(it));
+            return;
+        }
+        submit(std::move(it), timeout);
+        flush();
+    }
+
+    void reply(stream_id stream, std::string body)
+    {
+        const auto it = streams_.find(stream);
+        if (closed_ || it == streams_.end())
+            return;
+        it->second.out = std::move(body);
+        it->second.out_sent = 0;
+        const std::array<nghttp2_nv, 1> headers{header(":status", "200")};
+        nghttp2_data_provider provider{};
+        provider.source.ptr = this;
+        provider.read_callback = read_body;
+        nghttp2_submit_response(session_, stream, headers.data(), headers.size(), &provider);
+        flush();
+    }
+
+    void announce_stop()
+    {
+        if (closed_)
+            return;
+        nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE, nghttp2_session_get_last_proc_stream_id(session_),
+                              NGHTTP2_NO_ERROR, nullptr, 0);
+        flush();
+    }
+
+    [[nodiscard]] bool ready() const { return trusted_ && !closed_ && !peer_stops_; }
+    [[nodiscard]] bool stopping() const { return peer_stops_; }
+    [[nodiscard]] std::size_t outstanding() const { return client_ ? streams_.size() + waiting_.size() : 0; }
+
+private:
+    struct outgoing
+    {
+        message_kind kind = message_kind::statement;
+        std::string body;
+        outcome_hook done;
+        std::chrono::milliseconds timeout{0};
+        event *timer = nullptr;
+    };
+    struct stream
+    {
+        impl *owner = nullptr;
+        stream_id id = 0;
+        message_kind kind = message_kind::statement;
+        bool known_kind = false;
+        std::string in;
+        std::string out;
+        std::size_t out_sent = 0;
+        outcome_hook done;
+        event *timer = nullptr;
+        bool too_long = false;
+    };
+
+    void start_socket()
+    {
+        bufferevent_setcb(socket_, on_read, nullptr, on_event, this);
+        bufferevent_enable(socket_, EV_READ | EV_WRITE);
+    }
+
+    void start_session()
+    {
+        nghttp2_session_callbacks *callbacks = nullptr;
+        nghttp2_session_callbacks_new(&callbacks);
+        nghttp2_session_callbacks_set_on_header_callback(callbacks, on_header);
+        nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks, on_begin_headers);
+        nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, on_data);
+        nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, on_frame);
+        nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, on_stream_close);
+        if (client_)
+            nghttp2_session_client_new(&session_, callbacks, this);
+        else
+            nghttp2_session_server_new(&session_, callbacks, this);
+        nghttp2_session_callbacks_del(callbacks);
+        const std::array<nghttp2_settings_entry, 2> settings{
+            {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, max_streams},
+             {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, static_cast<std::uint32_t>(max_message)}}};
+        nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+        nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0, connection_window);
+    }
+
+    void say_hello()
+    {
+        outgoing it;
+        it.kind = message_kind::hello;
+        it.body = encode(hello{protocol_version, process_, nonce_, {}});
+        it.done = [this](const stream_outcome &outcome) { take_hello_answer(outcome); };
+        submit(std::move(it), hello_timeout);
+        flush();
+    }
+
+    void take_hello_answer(const stream_outcome &outcome)
+    {
+        const auto answer = decode<hello>(outcome.body);
+        if (!outcome.answered || !answer) {
+            close_soon("no_hello");
+            return;
+        }
+        if (answer->version != protocol_version) {
+            close_soon("other_version");
+            return;
+        }
+        if (!proves(keys_, nonce_, "server", answer->proof)) {
+            close_soon("wrong_key");
+            return;
+        }
+        outgoing it;
+        it.kind = message_kind::prove;
+        it.body = encode(hello{protocol_version, process_, {}, proof_of(keys_.key, answer->nonce, "client")});
+        it.done = [this](const stream_outcome &proved) {
+            if (!proved.answered)
+                close_soon("key_refused");
+        };
+        submit(std::move(it), hello_timeout);
+        trusted_ = true;
+        for (auto &next : std::exchange(waiting_, {})) {
+            const auto timeout = next.timeout;
+            submit(std::move(next), timeout);
+        }
+        flush();
+    }
+
+    void submit(outgoing &&message, std::chrono::milliseconds timeout)
+    {
+        const std::array<nghttp2_nv, 4> headers{header(":method", "POST"), header(":scheme", "http"),
+                                                header(":authority", "baobabport"),
+                                                header(":path", path_of(message.kind))};
+        nghttp2_data_provider provider{};
+        provider.source.ptr = this;
+        provider.read_callback = read_body;
+        const auto id =
+            nghttp2_submit_request(session_, nullptr, headers.data(), headers.size(), &provider, nullptr);
+        if (id < 0) {
+            message.done({false, false, {}});
+            return;
+        }
+        auto &it = streams_[id];
+        it.owner = this;
+        it.id = id;
+        it.kind = message.kind;
+        it.out = std::move(message.body);
+        it.done = std::move(message.done);
+        it.timer = evtimer_new(base_, on_timeout, &it);
+        const auto tv = to_timeval(timeout);
+        evtimer_add(it.timer, &tv);
+    }
+
+    void flush()
+    {
+        if (closed_)
+            return;
+        auto *const out = bufferevent_get_output(socket_);
+        while (true) {
+            const std::uint8_t *data = nullptr;
+            const auto n = nghttp2_session_mem_send(session_, &data);
+            if (n < 0) {
+                close_soon("protocol_error");
+                return;
+            }
+            if (n == 0)
+                return;
+            evbuffer_add(out, data, static_cast<std::size_t>(n));
+        }
+    }
+
+    void end_stream(stream_id id, const stream_outcome &outcome)
+    {
+        const auto it = streams_.find(id);
+        if (it == streams_.end())
+            return;
+        auto done = std::move(it->second.done);
+        if (it->second.timer)
+            event_free(it->second.timer);
+        streams_.erase(it);
+        if (done)
+            done(outcome);
+    }
+
+    void close_soon(const std::string &reason)
+    {
+        if (closed_)
+            return;
+        closed_ = true;
+        reason_ = reason;
+        if (!close_event_)
+            close_event_ = evtimer_new(base_, on_close, this);
+        const timeval at_once{0, 0};
+        evtimer_add(close_event_, &at_once);
+    }
+
+    static void on_close(int /*socket*/, short /*what*/, void *self)
+    {
+        auto *const me = static_cast<impl *>(self);
+        // Messages that never left this side did not arrive; the others may have.
+        for (auto &it : std::exchange(me->waiting_, {}))
+            it.done({false, false, {}});
+        std::vector<stream_id> ids;
+        for (const auto &[id, it] : me->streams_)
+            ids.push_back(id);
+        for (const auto id : ids)
+            me->end_stream(id, {false, me->connected_, {}});
+        const auto closed = me->hooks_.closed;
+        if (closed)
+            closed(me->reason_); // may destroy this object
+    }
+
+    static void on_timeout(int /*socket*/, short /*what*/, void *stream_pointer)
+    {
+        auto *const it = static_cast<stream *>(stream_pointer);
+        auto *const me = it->owner;
+        const auto id = it->id;
+        nghttp2_submit_rst_stream(me->session_, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+        me->end_stream(id, {false, me->connected_, {}});
+        me->flush();
+    }
+
+    static void on_read(bufferevent *socket, void *self)
+    {
+        auto *const me = static_cast<impl *>(self);
+        if (me->closed_)
+            return;
+        auto *const in = bufferevent_get_input(socket);
+        while (evbuffer_get_length(in) > 0) {
+            const auto n = evbuffer_get_contiguous_space(in);
+            const auto *const data = evbuffer_pullup(in, static_cast<ev_ssize_t>(n));
+            const auto taken = nghttp2_session_mem_recv(me->session_, data, n);
+            if (taken < 0) {
+                me->close_soon("protocol_error");
+                return;
+            }
+            evbuffer_drain(in, static_cast<std::size_t>(taken));
+        }
+        me->flush();
+    }
+
+    static void on_event(bufferevent * /*socket*/, short what, void *self)
+    {
+        auto *const me = static_cast<impl *>(self);
+        if (what & BEV_EVENT_CONNECTED) {
+            me->connected_ = true;
+            const int on = 1;
+            setsockopt(bufferevent_getfd(me->socket_), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+            return;
+        }
+        if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
+            me->close_soon(me->client_ && !me->connected_ ? "connect_failed" : "connection_ended");
+    }
+
+    static ssize_t read_body(nghttp2_session * /*session*/, std::int32_t id, std::uint8_t *buf,
+                             std::size_t length, std::uint32_t *flags, nghttp2_data_source *source,
+                             void * /*user*/)
+    {
+        auto *const me = static_cast<impl *>(source->ptr);
+        const auto it = me->streams_.find(id);
+        if (it == me->streams_.end())
+            return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+        auto &out = it->second.out;
+        auto &sent = it->second.out_sent;
+        const auto n = std::min(length, out.size() - sent);
+        std::copy_n(out.data() + sent, n, buf);
+        sent += n;
+        if (sent == out.size())
+            *flags |= NGHTTP2_DATA_FLAG_EOF;
+        return static_cast<ssize_t>(n);
+    }
+
+    static int on_begin_headers(nghttp2_session * /*session*/, const nghttp2_frame *frame, void *self)
+    {
+        auto *const me = static_cast<impl *>(self);
+        if (!me->client_ && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
+            auto &it = me->streams_[frame->hd.stream_id];
+            it.owner = me;
+            it.id = frame->hd.stream_id;
+        }
+        return 0;
+    }
+
+    static int on_header(nghttp2_session * /*session*/, const nghttp2_frame *frame, const std::uint8_t *name,
+                         std::size_t name_length, const std::uint8_t *value, std::size_t value_length,
+                         std::uint8_t /*flags*/, void *self)
+    {
+        auto *const me = static_cast<impl *>(self);
+        const std::string_view key(reinterpret_cast<const char *>(name), name_length);
+        if (me->client_ || key != ":path")
+            return 0;
+        const std::string_view path(reinterpret_cast<const char *>(value), value_length);
+        for (const auto &it : kind_paths) {
+            if (path != it.path)
+                continue;
+            auto &stream = me->streams_[frame->hd.stream_id];
+            stream.kind = it.kind;
+            stream.known_kind = true;
+        }
+        return 0;
+    }
+
+    static int on_data(nghttp2_session * /*session*/, std::uint8_t /*flags*/, std::int32_t id,
+                       const std::uint8_t *data, std::size_t length, void *self)
+    {
+        auto *const me = static_cast<impl *>(self);
+        const auto it = me->streams_.find(id);
+        if (it == me->streams_.end())
+            return 0;
+        if (it->second.in.size() + length > max_message)
+            it->second.too_long = true;
+        else
+            it->second.in.append(reinterpret_cast<const char *>(data), length);
+        return 0;
+    }
+
+    static int on_frame(nghttp2_session * /*session*/, const nghttp2_frame *frame, void *self)
+    {
+        auto *const me = static_cast<impl *>(self);
+        if (frame->hd.type == NGHTTP2_GOAWAY) {
+            me->peer_stops_ = true;
+            return 0;
+        }
+        const bool ends = frame->hd.flags & NGHTTP2_FLAG_END_STREAM;
+        const bool carries = frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
+        if (!ends || !carries)
+            return 0;
+        const auto it = me->streams_.find(frame->hd.stream_id);
+        if (it == me->streams_.end())
+            return 0;
+        if (me->client_)
+            me->end_stream(it->first, {!it->second.too_long, true, std::move(it->second.in)});
+        else
+            me->take_message(it->second);
+        return 0;
+    }
+
+    static int on_stream_close(nghttp2_session * /*session*/, std::int32_t id, std::uint32_t error_code,
+                               void *self)
+    {
+        auto *const me = static_cast<impl *>(self);
+        // A refused stream was not acted on, by the protocol's definition.
+        me->end_stream(id, {false, error_code != NGHTTP2_REFUSED_STREAM, {}});
+        return 0;
+    }
+
+    void take_message(stream &it)
+    {
+        const auto id = it.id;
+        if (it.too_long || !it.known_kind) {
+            nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id, NGHTTP2_REFUSED_STREAM);
+            return;
+        }
+        const auto body = std::move(it.in);
+        if (it.kind == message_kind::hello) {
+            take_hello(id, body);
+            return;
+        }
+        if (it.kind == message_kind::prove) {
+            take_proof(id, body);
+            return;
+        }
+        if (!trusted_) {
+            nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id, NGHTTP2_REFUSED_STREAM);
+            return;
+        }
+        if (hooks_.received)
+            hooks_.received(it.kind, body, id);
+    }
+
+    void take_hello(stream_id id, const std::string &body)
+    {
+        const auto message = decode<hello>(body);
+        if (!message) {
+            close_soon("bad_hello");
+            return;
+        }
+        reply(id, encode(hello{protocol_version, process_, nonce_,
+                               proof_of(keys_.key, message->nonce, "server")}));
+    }
+
+    void take_proof(stream_id id, const std::string &body)
+    {
+        const auto message = decode<hello>(body);
+        if (!message || !proves(keys_, nonce_, "client", message->proof)) {
+            close_soon("wrong_key");
+            return;
+        }
+        trusted_ = true;
+        reply(id, {});
+    }
+
+    event_base *base_;
+    bool client_;
+    std::string process_;
+    shared_keys keys_;
+    hooks hooks_;
+    std::string nonce_;
+    bufferevent *socket_ = nullptr;
+    nghttp2_session *session_ = nullptr;
+    event *close_event_ = nullptr;
+    std::map<stream_id, stream> streams_; ///< addresses stay valid while a stream lives
+    std::vector<outgoing> waiting_;       ///< until the other side proved the key
+    std::string reason_;
+    bool connected_ = false;
+    bool trusted_ = false;
+    bool peer_stops_ = false;
+    bool closed_ = false;
+};
+
+std::unique_ptr<stream_connection> stream_connection::connect(event_base *base, const support::address &to,
+                                                              const std::string &process,
+                                                              const shared_keys &keys, hooks with)
+{
+    auto it = std::make_unique<impl>(base, true, process, keys, std::move(with));
+    it->start_client(to);
+    return std::unique_ptr<stream_connection>(new stream_connection(std::move(it)));
+}
+
+std::unique_ptr<stream_connection> stream_connection::accept(event_base *base, int socket,
+                                                             const std::string &process,
+                                                             const shared_keys &keys, hooks with)
+{
+    auto it = std::make_unique<impl>(base, false, process, keys, std::move(with));
+    it->start_server(socket);
+    return std::unique_ptr<stream_connection>(new stream_connection(std::move(it)));
+}
+
+stream_connection::stream_connection(std::unique_ptr<impl> it) : impl_(std::move(it)) {}
+stream_connection::~stream_connection() = default;
+
+void stream_connection::send(message_kind kind, std::string body, std::chrono::milliseconds timeout,
+                             outcome_hook done)
+{
+    impl_->send(kind, std::move(body), timeout, std::move(done));
+}
+
+void stream_connection::reply(stream_id stream, std::string body)
+{
+    impl_->reply(stream, std::move(body));
+}
+void stream_connection::announce_stop()
+{
+    impl_->announce_stop();
+}
+bool stream_connection::ready() const
+{
+    return impl_->ready();
+}
+bool stream_connection::stopping() const
+{
+    return impl_->stopping();
+}
+std::size_t stream_connection::outstanding() const
+{
+    return impl_->outstanding();
+}
+
+} // namespace baobabport::inner
--- /dev/null
+++ b/src/inner/timer.h
@@ -0,0 +1,37 @@
+// A timer on a libevent loop.
+
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+struct event_base;
+
+namespace baobabport::inner {
+
+/**
+ * Calls a hook once or again and again; ends with the object.
+ */
+class timer
+{
+public:
+    timer(event_base *base, std::function<void()> hook);
+    ~timer();
+    timer(const timer &) = delete;
+    timer &operator=(const timer &) = delete;
+
+    /// Calls the hook once after the delay, in place of any earlier start.
+    void start(std::chrono::milliseconds delay);
+
+    /// Calls the hook at each interval.
+    void repeat(std::chrono::milliseconds interval);
+
+    void stop();
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace baobabport::inner
--- /dev/null
+++ b/src/platform/vm_list.cpp
@@ -0,0 +1,55 @@
+#include "platform/vm_list.h"
+
+#include "support/json_log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace baobabport::platform {
+
+namespace {
+
+constexpr std::chrono::milliseconds watch_time{60000};
+constexpr std::chrono::milliseconds pause_after_failure{2000};
+
+} // namespace
+
+std::optional<vm_list> read_vm_list(const std::string &value)
+{
+    try {
+        const auto fields = nlohmann::json::parse(value);
+        vm_list out;
+        out.leaving_vms = fields.value("leaving_vms", out.leaving_vms);
+        out.leaving_instances = fields.value("leaving_instances", out.leaving_instances);
+        return out;
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+vm_list_task::vm_list_task(event_base *base, store_client &store, changed_hook changed)
+    : store_(store), changed_(std::move(changed)), timer_(base, [this] { watch(); })
+{
+    watch();
+}
+
+void vm_list_task::watch()
+{
+    store_.watch(vm_list_key, revision_, watch_time, [this](const store_answer &answer) {
+        if (answer.outcome == store_outcome::unchanged) {
+            timer_.start(std::chrono::milliseconds(0));
+            return;
+        }
+        if (answer.outcome != store_outcome::done) {
+            timer_.start(pause_after_failure);
+            return;
+        }
+        revision_ = answer.revision;
+        if (const auto list = read_vm_list(answer.value))
+            changed_(*list);
+        else
+            support::log_warning("vm_list_unreadable");
+        timer_.start(std::chrono::milliseconds(0));
+    });
+}
+
+} // namespace baobabport::platform
--- /dev/null
+++ b/src/platform/vm_list.h
@@ -0,0 +1,48 @@
+// The platform's lagging list of VMs and upstreams that are leaving.
+
+#pragma once
+
+#include "inner/timer.h"
+#include "platform/store_client.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace baobabport::platform {
+
+/// Names that the platform says are leaving. What is not named is live.
+struct vm_list
+{
+    std::vector<std::string> leaving_vms;
+    std::vector<std::string> leaving_instances; ///< `database/instance`
+};
+
+/**
+ * Returns the list in the store's value, or none if it is not one.
+ */
+std::optional<vm_list> read_vm_list(const std::string &value);
+
+inline constexpr const char *vm_list_key = "vms";
+
+/**
+ * Watches the list and reports each change.
+ */
+class vm_list_task
+{
+public:
+    using changed_hook = std::function<void(const vm_list &)>;
+
+    vm_list_task(event_base *base, store_client &store, changed_hook changed);
+
+private:
+    void watch();
+
+    store_client &store_;
+    changed_hook changed_;
+    inner::timer timer_;
+    std::uint64_t revision_ = 0;
+};
+
+} // namespace baobabport::platform
--- /dev/null
+++ b/src/pooler/document_task.cpp
@@ -0,0 +1,81 @@
+#include "pooler/document_task.h"
+
+#include "document/document_envelope.h"
+#include "support/json_log.h"
+
+#include <algorithm>
+
+namespace baobabport::pooler {
+
+namespace {
+
+constexpr std::chrono::milliseconds watch_time{30000};
+constexpr std::chrono::milliseconds first_read_timeout{300};
+constexpr std::chrono::milliseconds min_pause{200};
+constexpr std::chrono::milliseconds max_pause{5000};
+constexpr std::chrono::milliseconds no_key_pause{1000};
+
+} // namespace
+
+document_task::document_task(event_base *base, platform::store_client &store, std::string database,
+                             hooks with)
+    : store_(store), database_(std::move(database)), hooks_(std::move(with)),
+      timer_(base, [this] { watch(); })
+{
+}
+
+void document_task::start()
+{
+    if (started_)
+        return;
+    started_ = true;
+    watch();
+}
+
+void document_task::watch()
+{
+    const auto key = document::document_key(database_);
+    if (holder_.revision() == 0) {
+        store_.read(key, first_read_timeout, [this](const auto &answer) { take(answer); });
+        return;
+    }
+    store_.watch(key, holder_.revision(), watch_time, [this](const auto &answer) { take(answer); });
+}
+
+void document_task::take(const platform::store_answer &answer)
+{
+    using platform::store_outcome;
+    if (answer.outcome == store_outcome::done)
+        offer(answer.revision, answer.value);
+    if (answer.outcome == store_outcome::done || answer.outcome == store_outcome::unchanged) {
+        failures_ = 0;
+        // A document that cannot be read is in force nowhere; it is looked at again, not at once.
+        const bool read = holder_.revision() >= answer.revision;
+        timer_.start(read ? std::chrono::milliseconds(0) : no_key_pause);
+        return;
+    }
+    if (holder_.revision() == 0)
+        hooks_.ask_peers();
+    if (answer.outcome == store_outcome::no_such_key) {
+        timer_.start(no_key_pause);
+        return;
+    }
+    const auto pause = min_pause * (1U << std::min<std::uint32_t>(failures_, 6));
+    ++failures_;
+    timer_.start(std::min(pause, max_pause));
+}
+
+void document_task::offer(std::uint64_t revision, const std::string &value)
+{
+    if (holder_.offer(database_, revision, value, std::chrono::steady_clock::now())) {
+        support::log_event("document_in_force",
+                           {{"database", database_}, {"revision", std::to_string(revision)}});
+        hooks_.changed();
+        return;
+    }
+    if (holder_.last_reason() != "not_newer")
+        support::log_warning("document_refused",
+                             {{"database", database_}, {"reason", holder_.last_reason()}});
+}
+
+} // namespace baobabport::pooler
--- /dev/null
+++ b/src/pooler/pooler_task.cpp
@@ -0,0 +1,433 @@
+#include "pooler/pooler_task.h"
+
+#include "inner/message_codec.h"
+#include "support/json_log.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace baobabport::pooler {
+
+using consistency::verdict;
+using inner::message_kind;
+using inner::statement_answer;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::chrono::milliseconds housekeeping_interval{20};
+constexpr std::chrono::milliseconds peer_timeout{150};
+constexpr std::chrono::milliseconds document_timeout{500};
+constexpr std::chrono::milliseconds store_timeout{1000};
+constexpr std::chrono::milliseconds default_deadline{2000};
+constexpr int listen_backlog = 1024;
+
+} // namespace
+
+pooler_task::pooler_task(event_base *base, settings::process_settings settings, stopped_hook stopped)
+    : base_(base), settings_(std::move(settings)), stopped_(std::move(stopped)),
+      store_(base, settings_.store, settings_.process),
+      links_(base, settings_.process, {settings_.keys.inner, settings_.keys.former_inner}),
+      housekeeping_(base, [this] { housekeeping(); })
+{
+    for (const auto &it : settings_.poolers)
+        links_.set_address(it.name, it.inner);
+    for (const auto &place : settings_.databases) {
+        auto &state = databases_[place.name];
+        state.place = &place;
+        const auto name = place.name;
+        document_task::hooks hooks;
+        hooks.changed = [this, name] { document_changed(name); };
+        hooks.ask_peers = [this, name] { ask_peers_for_document(name); };
+        state.document = std::make_unique<document_task>(base, store_, name, std::move(hooks));
+    }
+    vm_list_task_ = std::make_unique<platform::vm_list_task>(base, store_, [this](const auto &list) {
+        vm_list_ = list;
+        for (auto &[name, state] : databases_)
+            apply_vm_list(state);
+    });
+    http::operator_server::hooks hooks;
+    hooks.healthy = [this] { return !draining_; };
+    hooks.state = [this] { return dump(); };
+    hooks.metrics = [this] { return metrics_text(); };
+    hooks.drain = [this] { drain(); };
+    operators_ = std::make_unique<http::operator_server>(base, settings_.operators, settings_.keys.operators,
+                                                         settings_.keys.former_operators, std::move(hooks));
+    listen();
+    housekeeping_.repeat(housekeeping_interval);
+    support::log_event("started", {{"inner", settings_.inner->text()}});
+}
+
+pooler_task::~pooler_task()
+{
+    if (listener_)
+        evconnlistener_free(listener_);
+}
+
+void pooler_task::listen()
+{
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(settings_.inner->port);
+    inet_pton(AF_INET, settings_.inner->ip.c_str(), &at.sin_addr);
+    const auto accepted = [](evconnlistener * /*listener*/, evutil_socket_t socket, sockaddr * /*from*/,
+                             int /*length*/,
+                             void *self) { static_cast<pooler_task *>(self)->accept(socket); };
+    listener_ = evconnlistener_new_bind(base_, accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                        listen_backlog, reinterpret_cast<sockaddr *>(&at), sizeof(at));
+    if (!listener_)
+        throw std::runtime_error("cannot listen on " + settings_.inner->text());
+}
+
+void pooler_task::accept(int socket)
+{
+    const auto id = next_connection_++;
+    inner::stream_connection::hooks hooks;
+    hooks.received = [this, id](auto kind, const auto &body, auto stream) {
+        received(id, kind, body, stream);
+    };
+    hooks.closed = [this, id](const std::string &reason) {
+        if (reason != "connection_ended")
+            support::log_warning("inner_connection_closed", {{"reason", reason}});
+        connections_.erase(id);
+    };
+    connections_[id] = inner::stream_connection::accept(base_, socket, settings_.process,
+                                                        {settings_.keys.inner, settings_.keys.former_inner},
+                                                        std::move(hooks));
+}
+
+void pooler_task::received(std::uint64_t connection, message_kind kind, const std::string &body,
+                           inner::stream_connection::stream_id stream)
+{
+    switch (kind) {
+    case message_kind::statement:
+        take_statement(connection, body, stream);
+        return;
+    case message_kind::view:
+        take_view(connection, body, stream);
+        return;
+    case message_kind::document:
+        take_document(connection, body, stream);
+        return;
+    case message_kind::hello:
+    case message_kind::prove:
+        return; // taken by the connection itself
+    }
+}
+
+pooler_task::database_state *pooler_task::find(const std::string &database)
+{
+    const auto it = databases_.find(database);
+    return it == databases_.end() ? nullptr : &it->second;
+}
+
+void pooler_task::take_statement(std::uint64_t connection, const std::string &body,
+                                 inner::stream_connection::stream_id stream)
+{
+    const auto now = steady_clock::now();
+    const auto request = inner::decode<inner::statement_request>(body);
+    const auto key = next_key_++;
+    origins_[key] = {connection, stream, request ? request->class_name : std::string(), now};
+    if (!request) {
+        refuse(key, "unreadable_message", false);
+        return;
+    }
+    auto *const state = find(request->database);
+    if (!state) {
+        refuse(key, "unknown_database", false);
+        return;
+    }
+    submit(*state, key, *request, now);
+}
+
+void pooler_task::submit(database_state &state, home::request_key key,
+                         const inner::statement_request &request, time_point now)
+{
+    if (state.home) {
+        state.home->submit(key, request);
+        return;
+    }
+    if (draining_) {
+        refuse(key, "draining", true);
+        return;
+    }
+    state.document->start();
+    state.waiting.push_back({key, request, now});
+}
+
+void pooler_task::refuse(home::request_key key, const std::string &reason, bool use_next_rank)
+{
+    statement_answer out;
+    out.outcome = verdict::not_run;
+    out.reason = reason;
+    out.use_next_rank = use_next_rank;
+    answer(key, out);
+}
+
+void pooler_task::answer(home::request_key key, const statement_answer &answer)
+{
+    const auto it = origins_.find(key);
+    if (it == origins_.end())
+        return;
+    const auto from = it->second;
+    origins_.erase(it);
+    const auto took =
+        std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now() - from.arrived);
+    const auto outcome = std::string(consistency::to_string(answer.outcome));
+    metrics_.record("baobabport_request_seconds", "class=\"" + from.class_name + "\"", took);
+    metrics_.count("baobabport_requests_total",
+                   "class=\"" + from.class_name + "\",verdict=\"" + outcome + '"');
+    reply(from.connection, from.stream, inner::encode(answer));
+}
+
+void pooler_task::reply(std::uint64_t connection, inner::stream_connection::stream_id stream,
+                        std::string body)
+{
+    const auto it = connections_.find(connection);
+    if (it != connections_.end())
+        it->second->reply(stream, std::move(body));
+}
+
+void pooler_task::take_view(std::uint64_t connection, const std::string &body,
+                            inner::stream_connection::stream_id stream)
+{
+    inner::view_answer out;
+    const auto request = inner::decode<inner::view_request>(body);
+    const auto *const state = request ? find(request->database) : nullptr;
+    if (state && state->home)
+        out = state->home->decisions().view_for(*request, steady_clock::now());
+    reply(connection, stream, inner::encode(out));
+}
+
+void pooler_task::take_document(std::uint64_t connection, const std::string &body,
+                                inner::stream_connection::stream_id stream)
+{
+    inner::document_answer out;
+    const auto request = inner::decode<inner::document_request>(body);
+    const auto *const state = request ? find(request->database) : nullptr;
+    if (state && state->document->holder().revision() > request->known_revision) {
+        out.revision = state->document->holder().revision();
+        out.text = state->document->holder().value();
+    }
+    reply(connection, stream, inner::encode(out));
+}
+
+void pooler_task::document_changed(const std::string &database)
+{
+    auto &state = databases_.at(database);
+    if (state.home) {
+        state.home->decisions().set_document(state.document->holder().current());
+        return;
+    }
+    begin_home(state);
+    const auto now = steady_clock::now();
+    for (auto &it : std::exchange(state.waiting, {})) {
+        const auto waited = std::chrono::ceil<std::chrono::milliseconds>(now - it.arrived);
+        if (it.request.time_left.count() > 0)
+            it.request.time_left = std::max(std::chrono::milliseconds(1), it.request.time_left - waited);
+        state.home->submit(it.key, it.request);
+    }
+}
+
+void pooler_task::begin_home(database_state &state)
+{
+    home_task::hooks hooks;
+    hooks.answer = [this](auto key, const auto &out) { answer(key, out); };
+    hooks.ask_peer = [this](const auto &request) { ask_peer_for_view(request); };
+    hooks.publish = [this](const auto &record) { publish(record); };
+    state.home = std::make_unique<home_task>(base_, settings_, *state.place, std::move(hooks),
+                                             state.document->holder().current());
+    apply_vm_list(state);
+    if (draining_)
+        state.home->decisions().drain();
+    support::log_event("home_began", {{"database", state.place->name}});
+}
+
+void pooler_task::apply_vm_list(database_state &state)
+{
+    if (!state.home)
+        return;
+    const auto &names = vm_list_.leaving_instances;
+    for (home::instance_id it = 0; it < state.place->instances.size(); ++it) {
+        const auto name = state.place->name + '/' + state.place->instances[it].name;
+        state.home->decisions().set_leaving(it, std::find(names.begin(), names.end(), name) != names.end());
+    }
+}
+
+std::vector<std::string> pooler_task::peers_of(const settings::database_place &place) const
+{
+    routing::ranked_database database{place.name, {}};
+    for (const auto &it : place.instances)
+        database.data_centres.push_back(it.data_centre);
+    std::vector<routing::candidate> candidates;
+    for (const auto &it : settings_.poolers)
+        candidates.push_back({it.name, it.data_centre});
+    std::vector<std::string> out;
+    for (const auto n : routing::rank_homes(database, candidates)) {
+        if (candidates[n].name != settings_.process)
+            out.push_back(candidates[n].name);
+    }
+    return out;
+}
+
+void pooler_task::ask_peers_for_document(const std::string &database)
+{
+    // The next two ranks are the ones most likely to have served it.
+    constexpr std::size_t asked = 2;
+    auto peers = peers_of(*databases_.at(database).place);
+    peers.resize(std::min(peers.size(), asked));
+    const auto message = inner::encode(inner::document_request{database, 0});
+    for (const auto &it : peers) {
+        links_.send(it, message_kind::document, message, document_timeout,
+                    [this, database](const auto &outcome) {
+                        const auto out = inner::decode<inner::document_answer>(outcome.body);
+                        if (outcome.answered && out && out->revision > 0)
+                            databases_.at(database).document->offer(out->revision, out->text);
+                    });
+    }
+}
+
+void pooler_task::ask_peer_for_view(const inner::view_request &request)
+{
+    const auto peers = peers_of(*databases_.at(request.database).place);
+    const auto tell = [this, request](const inner::view_answer &answer) {
+        auto &state = databases_.at(request.database);
+        if (state.home)
+            state.home->take(answer);
+    };
+    if (peers.empty()) {
+        // Nobody to ask; the controller's own time-out goes on without an answer.
+        return;
+    }
+    links_.send(peers.front(), message_kind::view, inner::encode(request), peer_timeout,
+                [tell](const auto &outcome) {
+                    const auto out = inner::decode<inner::view_answer>(outcome.body);
+                    tell(outcome.answered && out ? *out : inner::view_answer{});
+                });
+}
+
+void pooler_task::publish(const home::primary_record &record)
+{
+    const auto &place = *databases_.at(record.database).place;
+    const auto name = place.instances[record.primary].name;
+    support::log_event(
+        "primary_promoted",
+        {{"database", record.database}, {"primary", name}, {"term", std::to_string(record.term)}});
+    const auto key = "primaries/" + record.database;
+    const auto value = nlohmann::json{{"term", record.term}, {"primary", name}}.dump();
+    // For people and tools to see; the instances' own terms decide.
+    store_.read(key, store_timeout, [this, key, value](const auto &answer) {
+        if (answer.outcome == platform::store_outcome::unknown)
+            return;
+        store_.compare_and_swap(key, answer.revision, value, store_timeout, [](const auto &) {});
+    });
+}
+
+void pooler_task::drain()
+{
+    if (draining_)
+        return;
+    draining_ = true;
+    drain_began_ = steady_clock::now();
+    support::log_event("draining");
+    for (auto &[name, state] : databases_) {
+        if (state.home)
+            state.home->decisions().drain();
+        for (const auto &it : std::exchange(state.waiting, {}))
+            refuse(it.key, "draining", true);
+    }
+    for (auto &[id, connection] : connections_)
+        connection->announce_stop();
+}
+
+void pooler_task::housekeeping()
+{
+    const auto now = steady_clock::now();
+    for (auto &[name, state] : databases_) {
+        std::vector<home::request_key> late;
+        std::erase_if(state.waiting, [&](const auto &it) {
+            const auto left = it.request.time_left.count() > 0 ? it.request.time_left : default_deadline;
+            const bool over = it.arrived + left <= now;
+            if (over)
+                late.push_back(it.key);
+            return over;
+        });
+        for (const auto key : late)
+            refuse(key, "no_document", true);
+    }
+    if (draining_)
+        check_stopped(now);
+}
+
+void pooler_task::check_stopped(time_point now)
+{
+    const bool idle =
+        origins_.empty() && std::all_of(databases_.begin(), databases_.end(), [](const auto &it) {
+            return !it.second.home || it.second.home->decisions().is_idle();
+        });
+    constexpr std::chrono::milliseconds linger{200}; // for the last answers to leave
+    const bool over = now - drain_began_ >= settings_.stop_within;
+    if (over || (idle && now - drain_began_ >= linger)) {
+        support::log_event("stopped", {{"idle", idle ? "true" : "false"}});
+        stopped_();
+    }
+}
+
+std::string pooler_task::dump() const
+{
+    using nlohmann::json;
+    json homes = json::array();
+    json documents = json::object();
+    for (const auto &[name, state] : databases_) {
+        if (state.home)
+            homes.push_back(state.home->dump());
+        const auto &holder = state.document->holder();
+        if (!holder.current())
+            continue;
+        const auto since =
+            std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - holder.since());
+        const auto &ids = holder.current()->change_ids;
+        documents[name] = {{"revision", holder.revision()},
+                           {"in_force_for_ms", since.count()},
+                           {"by_change", ids.empty() ? "" : ids.back()},
+                           {"last_reason", holder.last_reason()}};
+    }
+    return json{{"process", settings_.process},
+                {"program", "baobabport-pooler"},
+                {"version", BAOBABPORT_VERSION},
+                {"data_centre", settings_.data_centre},
+                {"draining", draining_},
+                {"homes", homes},
+                {"documents", documents},
+                {"store", {{"calls", store_.calls()}, {"healthy", store_.healthy()}}},
+                {"leaving", {{"vms", vm_list_.leaving_vms}, {"instances", vm_list_.leaving_instances}}},
+                {"inner_connections", connections_.size()},
+                {"links", links_.open_links()},
+                {"requests_in_progress", origins_.size()}}
+        .dump(2);
+}
+
+std::string pooler_task::metrics_text()
+{
+    for (const auto &[name, state] : databases_) {
+        if (!state.home)
+            continue;
+        const auto label = "database=\"" + name + '"';
+        const auto &home = state.home->decisions();
+        metrics_.set("baobabport_queue_length", label, static_cast<double>(home.queue().length()));
+        metrics_.set("baobabport_held_answers", label, static_cast<double>(home.held()));
+        metrics_.set("baobabport_document_revision", label, static_cast<double>(home.document().revision));
+        metrics_.set("baobabport_reads_by_replica", label,
+                     static_cast<double>(home.counters().reads_by_replica));
+        metrics_.set("baobabport_reads_by_primary", label,
+                     static_cast<double>(home.counters().reads_by_primary));
+        metrics_.set("baobabport_promotions", label, static_cast<double>(home.counters().promotions));
+    }
+    metrics_.set("baobabport_store_calls", "", static_cast<double>(store_.calls()));
+    return metrics_.text();
+}
+
+} // namespace baobabport::pooler
--- /dev/null
+++ b/src/programs/ctl_main.cpp
@@ -0,0 +1,70 @@
+// The operator's command line.
+
+#include "ctl/document_commands.h"
+#include "programs/program_main.h"
+
+#include <cstdlib>
+#include <docopt/docopt.h>
+#include <iostream>
+
+namespace {
+
+constexpr const char *usage = R"(Changes and shows the operators' documents.
+
+Usage:
+  baobabport-ctl check FILE
+  baobabport-ctl show DATABASE --settings FILE
+  baobabport-ctl diff DATABASE DOCUMENT --settings FILE
+  baobabport-ctl apply DATABASE DOCUMENT --settings FILE [--expect-revision N] [--note TEXT]
+  baobabport-ctl history DATABASE --settings FILE
+  baobabport-ctl (-h | --help | --version)
+
+Options:
+  --settings FILE      Settings of any process: they name the store and the others.
+  --expect-revision N  Change nothing unless the store holds this revision.
+  --note TEXT          Why, for the history [default: ].
+  --version            Show the version.
+  -h --help            Show this text.
+
+Exit status: 0 done, 1 refused and nothing changed, 2 bad usage or settings, 3 the store gave no answer
+and nothing was accepted, 4 the fate of a change is unclear, 5 some processes gave no answer.
+)";
+
+using arguments = std::map<std::string, docopt::value>;
+
+baobabport::ctl::apply_options apply_options_of(arguments &args)
+{
+    baobabport::ctl::apply_options out;
+    out.database = args["DATABASE"].asString();
+    out.file = args["DOCUMENT"].asString();
+    const char *const user = std::getenv("USER");
+    out.by = user ? user : "unknown";
+    if (args["--note"].isString())
+        out.note = args["--note"].asString();
+    if (args["--expect-revision"])
+        out.expected_revision = static_cast<std::uint64_t>(args["--expect-revision"].asLong());
+    return out;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    using namespace baobabport;
+    auto args = docopt::docopt(usage, {argv + 1, argv + argc}, true, "baobabport-ctl " BAOBABPORT_VERSION);
+    settings::process_settings settings;
+    if (args["check"].asBool())
+        return ctl::document_commands(settings, std::cout, std::cerr).check(args["FILE"].asString());
+    auto loaded = programs::load_settings(settings::program_kind::tool, args["--settings"].asString());
+    if (!loaded)
+        return programs::exit_bad_usage;
+    ctl::document_commands commands(*loaded, std::cout, std::cerr);
+    const auto database = args["DATABASE"].isString() ? args["DATABASE"].asString() : std::string();
+    if (args["show"].asBool())
+        return commands.show(database);
+    if (args["diff"].asBool())
+        return commands.diff(database, args["DOCUMENT"].asString());
+    if (args["history"].asBool())
+        return commands.history(database);
+    return commands.apply(apply_options_of(args));
+}
--- /dev/null
+++ b/src/programs/program_main.cpp
@@ -0,0 +1,52 @@
+#include "programs/program_main.h"
+
+#include <csignal>
+#include <event2/event.h>
+#include <iostream>
+
+namespace baobabport::programs {
+
+namespace {
+
+struct signal_context
+{
+    event_base *base = nullptr;
+    const std::function<void()> *drain = nullptr;
+    bool asked = false;
+};
+
+void on_signal(int /*signal*/, short /*what*/, void *arg)
+{
+    auto *const context = static_cast<signal_context *>(arg);
+    if (context->asked)
+        event_base_loopbreak(context->base);
+    context->asked = true;
+    (*context->drain)();
+}
+
+} // namespace
+
+std::optional<settings::process_settings> load_settings(settings::program_kind program,
+                                                        const std::string &path)
+{
+    settings::settings_reader reader(program);
+    auto out = reader.read_file(path);
+    if (!out)
+        std::cerr << reader.last_reason() << '\n';
+    return out;
+}
+
+void run_until_stopped(event_base *base, const std::function<void()> &drain)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    signal_context context{base, &drain, false};
+    auto *const term = evsignal_new(base, SIGTERM, on_signal, &context);
+    auto *const interrupt = evsignal_new(base, SIGINT, on_signal, &context);
+    event_add(term, nullptr);
+    event_add(interrupt, nullptr);
+    event_base_dispatch(base);
+    event_free(term);
+    event_free(interrupt);
+}
+
+} // namespace baobabport::programs
--- /dev/null
+++ b/src/routing/home_selector.cpp
@@ -0,0 +1,90 @@
+#include "routing/home_selector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabport::routing {
+
+namespace {
+
+constexpr std::chrono::milliseconds first_avoidance{200};
+constexpr std::uint32_t max_doublings = 5;
+constexpr std::chrono::seconds trust_after{2};
+constexpr std::chrono::milliseconds pass_time{1000};
+
+} // namespace
+
+home_selector::home_selector(std::vector<candidate> candidates, std::uint64_t seed)
+    : candidates_(std::move(candidates)), random_(seed)
+{
+}
+
+void home_selector::set_leaving(const std::string &pooler, bool leaving)
+{
+    evidence_[pooler].leaving = leaving;
+}
+
+void home_selector::answered(const std::string &pooler, time_point now)
+{
+    auto &it = evidence_[pooler];
+    if (it.failures == 0)
+        return;
+    if (it.answering_since == time_point{})
+        it.answering_since = now;
+    if (now - it.answering_since >= trust_after) {
+        it.failures = 0;
+        it.answering_since = {};
+    }
+}
+
+void home_selector::failed(const std::string &pooler, time_point now)
+{
+    auto &it = evidence_[pooler];
+    it.answering_since = {};
+    if (now < it.avoid_until)
+        return; // one outage fails many requests at once
+    const auto time = first_avoidance * (1U << std::min(it.failures, max_doublings));
+    std::uniform_int_distribution<std::int64_t> pick(time.count() / 2, time.count() * 3 / 2);
+    it.avoid_until = now + std::chrono::milliseconds(pick(random_));
+    ++it.failures;
+}
+
+void home_selector::passed_on(const std::string &database, const std::string &pooler, time_point now)
+{
+    std::erase_if(passes_, [&](const auto &it) { return it.until <= now; });
+    passes_.push_back({database, pooler, now + pass_time});
+}
+
+bool home_selector::passes(const std::string &database, const std::string &pooler, time_point now) const
+{
+    return std::any_of(passes_.begin(), passes_.end(), [&](const auto &it) {
+        return it.database == database && it.pooler == pooler && it.until > now;
+    });
+}
+
+std::optional<home_choice> home_selector::choose(const ranked_database &database,
+                                                 const std::vector<std::string> &tried, time_point now)
+{
+    auto [ranking, is_new] = rankings_.try_emplace(database.name);
+    if (is_new)
+        ranking->second = rank_homes(database, candidates_);
+    std::optional<home_choice> fallback;
+    time_point fallback_time = time_point::max();
+    for (std::uint32_t rank = 0; rank < ranking->second.size(); ++rank) {
+        const auto &name = candidates_[ranking->second[rank]].name;
+        if (std::find(tried.begin(), tried.end(), name) != tried.end())
+            continue;
+        const auto &it = evidence_[name];
+        const bool avoided = it.avoid_until > now;
+        if (!avoided && !it.leaving && !passes(database.name, name, now))
+            return home_choice{name, rank};
+        const auto usable_at = it.leaving ? time_point::max() - std::chrono::hours(1) : it.avoid_until;
+        if (usable_at < fallback_time) {
+            fallback = home_choice{name, rank};
+            fallback_time = usable_at;
+        }
+    }
+    return fallback;
+}
+
+} // namespace baobabport::routing
--- /dev/null
+++ b/src/settings/process_settings.h
@@ -0,0 +1,81 @@
+// The settings of one process, as read from its settings file.
+
+#pragma once
+
+#include "home/database_home.h"
+#include "support/address.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace baobabport::settings {
+
+/// A pooler that entries and other poolers may talk to.
+struct pooler_place
+{
+    std::string name;
+    std::uint32_t vm_number = 0;
+    std::string data_centre;
+    support::address inner;
+};
+
+/// An upstream: one instance of a database group.
+struct instance_place
+{
+    std::string name;
+    std::string data_centre;
+    support::address at;
+};
+
+/// A database and its group.
+struct database_place
+{
+    std::string name;
+    std::uint32_t slots = 2;        ///< statements an instance runs at a time
+    std::uint32_t connections = 16; ///< an instance accepts at the most
+    std::vector<instance_place> instances;
+};
+
+/// Secrets, never logged nor dumped. A former key is accepted while keys change.
+struct key_ring
+{
+    std::string inner;
+    std::string former_inner;
+    std::string session;
+    std::string former_session;
+    std::string operators;
+    std::string former_operators;
+};
+
+/// Bounds of what an entry takes from callers.
+struct entry_limits
+{
+    std::uint32_t body_bytes = 256 * 1024;
+    std::uint32_t in_progress = 5000;
+    std::uint32_t in_progress_per_database = 2500;
+};
+
+/**
+ * Everything a process learns from its settings.
+ */
+struct process_settings
+{
+    std::string process;
+    std::uint32_t vm_number = 0;
+    std::string data_centre;
+    std::optional<support::address> callers; ///< entry: faces callers
+    std::optional<support::address> inner;   ///< pooler: faces the other processes
+    support::address operators;
+    support::address store;
+    std::vector<pooler_place> poolers;
+    std::vector<database_place> databases;
+    key_ring keys;
+    entry_limits limits;
+    home::policy_kind policy = home::policy_kind::session;
+    std::chrono::milliseconds stop_within{20000}; ///< a planned stop waits this long for what is in progress
+};
+
+} // namespace baobabport::settings
--- /dev/null
+++ b/src/settings/settings_reader.h
@@ -0,0 +1,51 @@
+// Reads a process's settings and checks every field.
+
+#pragma once
+
+#include "settings/process_settings.h"
+
+#include <optional>
+#include <string>
+
+namespace baobabport::settings {
+
+enum class program_kind : std::uint8_t
+{
+    entry,
+    pooler,
+    tool
+};
+
+/**
+ * Reads settings from JSON with comments.
+ *
+ * Nothing is taken from a text with an error in it.
+ */
+class settings_reader
+{
+public:
+    explicit settings_reader(program_kind program) : program_(program) {}
+
+    /**
+     * Returns the settings in the text, or none with the last reason.
+     */
+    std::optional<process_settings> read(const std::string &text);
+
+    /**
+     * Returns the settings in the file, or none with the last reason, which names the file.
+     */
+    std::optional<process_settings> read_file(const std::string &path);
+
+    [[nodiscard]] const std::string &last_reason() const { return last_reason_; }
+
+private:
+    program_kind program_;
+    std::string last_reason_;
+};
+
+/**
+ * Returns the file's text, or none if it cannot be read.
+ */
+std::optional<std::string> read_text_file(const std::string &path);
+
+} // namespace baobabport::settings
--- /dev/null
+++ b/src/support/json_fields.h
@@ -0,0 +1,99 @@
+// Reads the fields of a JSON object with checks, and says in one line what is wrong with them.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace baobabport::support {
+
+/// Where in a text an error stands, what was found there and what is allowed.
+struct field_error
+{
+    std::string path; ///< like `classes.booking.deadline_ms`
+    std::string found;
+    std::string allowed;
+    int line = 0; ///< 1 is the first; 0: not known
+
+    /// Returns the error as one line, without the file's name.
+    [[nodiscard]] std::string text() const;
+};
+
+/// A whole number's bounds, both allowed.
+struct number_range
+{
+    std::int64_t least = 0;
+    std::int64_t most = 0;
+};
+
+/**
+ * Parses a JSON text with comments into an object, or returns none and the reason.
+ */
+std::optional<nlohmann::json> parse_json_object(const std::string &text, field_error &last_error);
+
+/**
+ * Reads one object's fields.
+ *
+ * A missing optional field leaves the target as it is. `finish` reports fields that nobody read. Only the
+ * first error of a text is kept.
+ */
+class json_fields
+{
+public:
+    json_fields(const nlohmann::json &object, std::string path, std::optional<field_error> &error);
+
+    void text(const char *name, std::string &out, bool required);
+    void number(const char *name, std::uint32_t &out, number_range allowed, bool required = false);
+    void milliseconds(const char *name, std::chrono::milliseconds &out, number_range allowed,
+                      bool required = false);
+    void flag(const char *name, bool &out);
+    void texts(const char *name, std::vector<std::string> &out);
+
+    /// Reads a field that holds one of the names; returns its index, or none if it is missing or wrong.
+    std::optional<std::size_t> choice(const char *name, const std::vector<std::string> &names,
+                                      bool required = false);
+
+    using object_hook = std::function<void(json_fields &)>;
+
+    /// Reads an object below this one.
+    void object(const char *name, const object_hook &read, bool required = false);
+
+    /// Reads a list of objects.
+    void objects(const char *name, const object_hook &read, bool required = false);
+
+    using named_object_hook = std::function<void(const std::string &, json_fields &)>;
+
+    /// Reads an object whose keys are names chosen by the writer.
+    void named_objects(const char *name, const named_object_hook &read, bool required = false);
+
+    /// Takes the object's fields as they are, without checks.
+    void read_all();
+
+    /// Reports fields that nobody read.
+    void finish();
+
+    void fail(const std::string &name, std::string found, std::string allowed);
+    [[nodiscard]] bool failed() const { return error_.has_value(); }
+
+private:
+    const nlohmann::json *find(const char *name, bool required, const char *allowed);
+    [[nodiscard]] std::string path_of(const std::string &name) const;
+
+    const nlohmann::json &object_;
+    std::string path_;
+    std::optional<field_error> &error_;
+    std::set<std::string> read_;
+};
+
+/**
+ * Returns the line of the text in which the dotted path's last key stands, or 0.
+ */
+int line_of(const std::string &text, const std::string &path);
+
+} // namespace baobabport::support
--- /dev/null
+++ b/src/support/metrics.cpp
@@ -0,0 +1,114 @@
+#include "support/metrics.h"
+
+#include <boost/histogram.hpp>
+#include <sstream>
+
+namespace baobabport::support {
+
+namespace bh = boost::histogram;
+
+namespace {
+
+constexpr int bins = 120;
+constexpr double least_seconds = 1e-4;
+constexpr double most_seconds = 100.0;
+
+using log_axis = bh::axis::regular<double, bh::axis::transform::log>;
+
+auto make_bins()
+{
+    return bh::make_histogram(log_axis(bins, least_seconds, most_seconds));
+}
+
+std::string braced(const std::string &labels)
+{
+    return labels.empty() ? "" : '{' + labels + '}';
+}
+
+} // namespace
+
+class latency_histogram::impl
+{
+public:
+    decltype(make_bins()) values = make_bins();
+    std::uint64_t count = 0;
+    double sum = 0;
+};
+
+latency_histogram::latency_histogram() : impl_(std::make_unique<impl>()) {}
+latency_histogram::~latency_histogram() = default;
+latency_histogram::latency_histogram(latency_histogram &&) noexcept = default;
+latency_histogram &latency_histogram::operator=(latency_histogram &&) noexcept = default;
+
+void latency_histogram::record(std::chrono::microseconds value)
+{
+    const std::chrono::duration<double> seconds = value;
+    impl_->values(seconds.count());
+    ++impl_->count;
+    impl_->sum += seconds.count();
+}
+
+std::uint64_t latency_histogram::count() const
+{
+    return impl_->count;
+}
+
+std::chrono::microseconds latency_histogram::quantile(double part) const
+{
+    const auto wanted = static_cast<double>(impl_->count) * part;
+    double seen = 0;
+    for (const auto &&it : bh::indexed(impl_->values, bh::coverage::all)) {
+        seen += *it;
+        if (seen < wanted || *it == 0)
+            continue;
+        const auto edge = std::min(it.bin().upper(), most_seconds);
+        return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::duration<double>(edge));
+    }
+    return std::chrono::microseconds(0);
+}
+
+void latency_histogram::write(const std::string &name, const std::string &labels, std::string &out) const
+{
+    std::ostringstream text;
+    double seen = 0;
+    const auto prefix = labels.empty() ? "" : labels + ',';
+    for (const auto &&it : bh::indexed(impl_->values, bh::coverage::all)) {
+        seen += *it;
+        if (*it > 0 && it.bin().upper() <= most_seconds)
+            text << name << "_bucket{" << prefix << "le=\"" << it.bin().upper() << "\"} " << seen << '\n';
+    }
+    text << name << "_bucket{" << prefix << "le=\"+Inf\"} " << impl_->count << '\n';
+    text << name << "_sum" << braced(labels) << ' ' << impl_->sum << '\n';
+    text << name << "_count" << braced(labels) << ' ' << impl_->count << '\n';
+    out += text.str();
+}
+
+void metrics::count(const std::string &name, const std::string &labels, std::uint64_t n)
+{
+    counters_[{name, labels}] += n;
+}
+
+void metrics::set(const std::string &name, const std::string &labels, double value)
+{
+    gauges_[{name, labels}] = value;
+}
+
+void metrics::record(const std::string &name, const std::string &labels, std::chrono::microseconds value)
+{
+    histograms_[{name, labels}].record(value);
+}
+
+std::string metrics::text() const
+{
+    std::ostringstream lines;
+    for (const auto &[key, value] : counters_)
+        lines << key.name << braced(key.labels) << ' ' << value << '\n';
+    for (const auto &[key, value] : gauges_)
+        lines << key.name << braced(key.labels) << ' ' << value << '\n';
+    auto out = lines.str();
+    for (const auto &[key, value] : histograms_)
+        value.write(key.name, key.labels, out);
+    return out;
+}
+
+} // namespace baobabport::support
--- /dev/null
+++ b/src/support/metrics.h
@@ -0,0 +1,71 @@
+// Counters and latency histograms of one process, as Prometheus text.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace baobabport::support {
+
+/**
+ * A latency histogram on a logarithmic axis, from 0.1 ms to 100 s.
+ */
+class latency_histogram
+{
+public:
+    latency_histogram();
+    ~latency_histogram();
+    latency_histogram(const latency_histogram &) = delete;
+    latency_histogram &operator=(const latency_histogram &) = delete;
+    latency_histogram(latency_histogram &&) noexcept;
+    latency_histogram &operator=(latency_histogram &&) noexcept;
+
+    void record(std::chrono::microseconds value);
+
+    [[nodiscard]] std::uint64_t count() const;
+
+    /**
+     * Returns the upper edge of the bin in which the quantile lies; 0 without values.
+     */
+    [[nodiscard]] std::chrono::microseconds quantile(double part) const;
+
+    /// Appends the bins as a Prometheus histogram.
+    void write(const std::string &name, const std::string &labels, std::string &out) const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+/**
+ * Named counters and histograms; labels are written as Prometheus text, like `class="booking"`.
+ */
+class metrics
+{
+public:
+    void count(const std::string &name, const std::string &labels, std::uint64_t n = 1);
+    void set(const std::string &name, const std::string &labels, double value);
+    void record(const std::string &name, const std::string &labels, std::chrono::microseconds value);
+
+    /**
+     * Returns everything as Prometheus text.
+     */
+    [[nodiscard]] std::string text() const;
+
+private:
+    struct series_key
+    {
+        std::string name;
+        std::string labels;
+        auto operator<=>(const series_key &) const = default;
+    };
+
+    std::map<series_key, std::uint64_t> counters_;
+    std::map<series_key, double> gauges_;
+    std::map<series_key, latency_histogram> histograms_;
+};
+
+} // namespace baobabport::support
--- /dev/null
+++ b/standins/group_model.h
@@ -0,0 +1,111 @@
+// The rules by which the instances of a stand-in database group behave.
+//
+// The stand-in program puts HTTP around it; the tests call it in virtual time.
+
+#pragma once
+
+#include "consistency/instance_status.h"
+#include "home/upstream.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace standin {
+
+using baobabport::consistency::instance_id;
+using baobabport::consistency::instance_status;
+using baobabport::consistency::position;
+using baobabport::home::upstream_call;
+using baobabport::home::upstream_result;
+using time_point = std::chrono::steady_clock::time_point;
+
+/// One committed change.
+struct log_entry
+{
+    std::uint64_t term = 0;
+    std::string request_id;
+    std::string key; ///< empty: a promotion's first entry
+    std::string value;
+    std::string rows; ///< the answer of the statement that made it
+    time_point appended_at;
+};
+
+/**
+ * Instances with logs, terms and asynchronous replication.
+ *
+ * Invariants: an instance's promised term never falls, not even over a crash; it takes no write and no
+ * replication of a lower term. Its log only changes by appending as primary and by following a primary.
+ */
+class group_model
+{
+public:
+    explicit group_model(std::size_t instances);
+
+    [[nodiscard]] instance_status status(instance_id instance) const;
+
+    /// Refuses lower terms from now on; returns false if a higher one is promised.
+    bool fence(instance_id instance, std::uint64_t term);
+
+    /// Makes the instance primary of the term; its first act is an entry of that term.
+    bool promote(instance_id instance, std::uint64_t term, time_point now);
+
+    /**
+     * Runs a statement, or refuses it with a reason.
+     *
+     * `session` names the caller's connection; a transaction's statements are kept there until commit.
+     */
+    upstream_result execute(instance_id instance, std::uint64_t session, const upstream_call &call,
+                            time_point now);
+
+    /// Rolls back what the connection has open.
+    void end_session(instance_id instance, std::uint64_t session);
+
+    /// Moves entries from primaries to the instances they reach, as far as each one's lag allows.
+    void replicate(time_point now);
+
+    void crash(instance_id instance);
+    void restart(instance_id instance) { instances_[instance].up = true; }
+    void set_lag(instance_id instance, std::chrono::milliseconds lag) { instances_[instance].lag = lag; }
+    void set_cut(instance_id a, instance_id b, bool cut);
+
+    [[nodiscard]] bool up(instance_id instance) const { return instances_[instance].up; }
+    [[nodiscard]] std::size_t size() const { return instances_.size(); }
+    [[nodiscard]] const std::vector<log_entry> &log(instance_id instance) const
+    {
+        return instances_[instance].log;
+    }
+
+private:
+    struct change
+    {
+        std::string key;
+        std::string value;
+    };
+    struct instance
+    {
+        bool up = true;
+        bool primary = false;
+        std::uint64_t promised = 0;
+        std::chrono::milliseconds lag{0};
+        std::vector<log_entry> log;
+        std::map<std::string, std::string> rows;           ///< what the log amounts to
+        std::map<std::string, std::size_t> request_ids;    ///< offset of each id's first entry
+        std::map<std::uint64_t, std::vector<change>> open; ///< transactions by session
+        std::vector<bool> cut;
+    };
+
+    void append(instance &it, log_entry entry);
+    void truncate(instance &it, std::size_t length);
+    void follow(instance &replica, const instance &primary, time_point now);
+    [[nodiscard]] static position end_of(const instance &it);
+    upstream_result commit(instance &it, const std::vector<change> &changes, const upstream_call &call,
+                           time_point now);
+
+    std::vector<instance> instances_;
+};
+
+} // namespace standin
