A load tool, and the crest and stragglers measured beside the plain policy

Also found: the progress table recursed in Boost 1.74's indexed() under C++20; bins are visited by number.

--- a/Makefile
+++ b/Makefile
@@ -56,3 +56,12 @@
 # Fresh seeds for as long as one likes: EXPLORE_SECONDS=600 make explore
 explore: build
 	@$(BUILD)/baobabport-tests "[.explore]"
+
+.PHONY: demo mutants explore measure measure-load measure-failover
+measure-load: build
+	@measure/load.sh
+
+measure-failover: build
+	@measure/failover.sh
+
+measure: measure-failover measure-load
--- /dev/null
+++ b/src/load/load_task.h
@@ -0,0 +1,119 @@
+// Sends a workload to running entries, open loop, and measures what comes back.
+
+#pragma once
+
+#include "consistency/verdict.h"
+#include "http/http_client.h"
+#include "inner/timer.h"
+#include "load/load_ledger.h"
+#include "load/workload_plan.h"
+#include "support/address.h"
+#include "support/metrics.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace baobabport::load {
+
+/// A database's stand-in group and its control address.
+struct group_place
+{
+    std::string database;
+    support::address control;
+};
+
+/// What came back for one stream.
+struct stream_result
+{
+    support::latency_histogram latency; ///< of what ran, from the planned arrival
+    std::size_t sent = 0;
+    std::size_t ran = 0;
+    std::size_t not_run = 0;
+    std::size_t unknown = 0;
+    std::size_t late = 0; ///< ran, but past the deadline
+    std::size_t by_replica = 0;
+    std::size_t read_backs = 0;
+    std::size_t read_backs_by_replica = 0;
+    std::chrono::microseconds worst{0};
+    std::chrono::microseconds longest_gap{0}; ///< between two acknowledged requests
+    std::map<std::string, std::size_t> reasons;
+};
+
+/**
+ * Runs one workload plan.
+ *
+ * Arrivals follow the plan's schedule whether or not earlier requests are answered, and each latency counts
+ * from the planned arrival: a slow system cannot slow its own load.
+ */
+class load_task
+{
+public:
+    using finished_hook = std::function<void()>;
+
+    load_task(event_base *base, workload_plan plan, std::vector<support::address> entries,
+              std::vector<group_place> groups, finished_hook finished);
+    load_task(const load_task &) = delete;
+    load_task &operator=(const load_task &) = delete;
+    ~load_task() = default;
+
+    /// The results and the broken promises, as JSON.
+    [[nodiscard]] nlohmann::json report() const;
+    [[nodiscard]] bool kept() const { return ledger_.breaches().empty(); }
+
+    /// Takes in a group's final log. Called by the program once the load is over.
+    void take_log(const std::string &database, const nlohmann::json &log);
+
+private:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    struct active_stream
+    {
+        request_stream plan;
+        stream_result result;
+        std::uint64_t next = 0; ///< number of the next arrival
+        time_point last_ran;
+    };
+    struct sending
+    {
+        std::size_t stream = 0;
+        std::uint64_t number = 0;
+        std::string database;
+        std::string key;
+        std::string request_id;
+        std::string token;
+        time_point planned;
+        bool read_back = false;
+    };
+
+    void tick();
+    void arrive(std::size_t stream, time_point planned);
+    void send(const sending &it);
+    void take(const sending &it, const http::client_answer &answer);
+    void take_read_back(const sending &it, const nlohmann::json &body);
+    void begin_fault(const timed_fault &it);
+    [[nodiscard]] std::shared_ptr<http::http_client> client_of(std::size_t entry);
+
+    event_base *base_;
+    workload_plan plan_;
+    std::vector<support::address> entries_;
+    std::vector<group_place> groups_;
+    finished_hook finished_;
+    std::vector<active_stream> streams_;
+    std::vector<std::vector<std::shared_ptr<http::http_client>>> idle_; ///< by entry
+    std::list<std::shared_ptr<http::http_client>> controls_;
+    load_ledger ledger_;
+    std::mt19937_64 random_;
+    inner::timer timer_;
+    time_point began_;
+    std::size_t in_progress_ = 0;
+    std::size_t next_entry_ = 0;
+    std::size_t faults_begun_ = 0;
+};
+
+} // namespace baobabport::load
--- /dev/null
+++ b/src/programs/load_main.cpp
@@ -0,0 +1,127 @@
+// The load and experiment tool.
+
+#include "http/blocking_client.h"
+#include "load/load_task.h"
+#include "settings/settings_reader.h"
+
+#include <csignal>
+#include <cstdio>
+#include <docopt/docopt.h>
+#include <event2/event.h>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace {
+
+using namespace baobabport;
+
+constexpr const char *usage = R"(Sends a workload to running entries and checks every acknowledged write.
+
+Usage:
+  baobabport-load WORKLOAD --entry IP:PORT... [--group NAME=IP:PORT...] [--out FILE] [--quiet]
+  baobabport-load (-h | --help | --version)
+
+Options:
+  --entry IP:PORT       An entry's callers' address; requests go to all in turn.
+  --group NAME=IP:PORT  A database's stand-in control address: for faults and for the check of its log.
+  --out FILE            Write the results there as JSON.
+  --quiet               No progress and no table.
+  --version             Show the version.
+  -h --help             Show this text.
+
+Exit status: 0 every promise kept, 1 a promise was broken, 2 bad usage or workload.
+)";
+
+constexpr int exit_broken = 1;
+constexpr int exit_usage = 2;
+constexpr std::chrono::seconds progress_interval{2};
+constexpr std::chrono::seconds log_timeout{10};
+
+std::optional<load::group_place> parse_group(const std::string &text)
+{
+    const auto equals = text.find('=');
+    if (equals == std::string::npos)
+        return std::nullopt;
+    const auto at = support::parse_address(text.substr(equals + 1));
+    if (!at)
+        return std::nullopt;
+    return load::group_place{text.substr(0, equals), *at};
+}
+
+void print_table(const nlohmann::json &report)
+{
+    std::printf("%-18s %8s %8s %8s %8s %9s %9s %9s %10s\n", "stream", "sent", "ran", "not_run", "unknown",
+                "p50 ms", "p99 ms", "max ms", "replica %");
+    for (const auto &[name, it] : report["streams"].items()) {
+        const auto ran = it["ran"].get<double>();
+        std::printf("%-18s %8zu %8zu %8zu %8zu %9.1f %9.1f %9.1f %10.1f\n", name.c_str(),
+                    it["sent"].get<std::size_t>(), it["ran"].get<std::size_t>(),
+                    it["not_run"].get<std::size_t>(), it["unknown"].get<std::size_t>(),
+                    it["p50_ms"].get<double>(), it["p99_ms"].get<double>(), it["max_ms"].get<double>(),
+                    ran > 0 ? 100.0 * it["by_replica"].get<double>() / ran : 0.0);
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    auto args = docopt::docopt(usage, {argv + 1, argv + argc}, true, "baobabport-load " BAOBABPORT_VERSION);
+    const auto file = args["WORKLOAD"].asString();
+    const auto text = settings::read_text_file(file);
+    load::workload_reader reader;
+    auto plan = text ? reader.read(*text) : std::nullopt;
+    if (!plan) {
+        std::cerr << file << ": " << (text ? reader.last_reason() : "cannot be read") << '\n';
+        return exit_usage;
+    }
+    std::vector<support::address> entries;
+    for (const auto &it : args["--entry"].asStringList()) {
+        const auto at = support::parse_address(it);
+        if (!at) {
+            std::cerr << "--entry: found " << it << ", allowed: IP:PORT\n";
+            return exit_usage;
+        }
+        entries.push_back(*at);
+    }
+    std::vector<load::group_place> groups;
+    for (const auto &it : args["--group"].asStringList()) {
+        const auto group = parse_group(it);
+        if (!group) {
+            std::cerr << "--group: found " << it << ", allowed: NAME=IP:PORT\n";
+            return exit_usage;
+        }
+        groups.push_back(*group);
+    }
+    const bool quiet = args["--quiet"].asBool();
+    http::blocking_client client;
+    bool finished = false;
+    load::load_task task(client.loop(), *plan, entries, groups, [&] {
+        finished = true;
+        event_base_loopbreak(client.loop());
+    });
+    inner::timer progress(client.loop(), [&] {
+        if (!quiet)
+            print_table(task.report());
+    });
+    progress.repeat(progress_interval);
+    while (!finished)
+        event_base_loop(client.loop(), EVLOOP_ONCE);
+    progress.stop();
+    for (const auto &it : groups) {
+        const auto answer = client.call(it.control, {http::method_kind::get, "/log", {}, {}, log_timeout});
+        task.take_log(it.database, nlohmann::json::parse(answer.body, nullptr, false));
+    }
+    const auto report = task.report();
+    if (!quiet)
+        print_table(report);
+    if (args["--out"].isString())
+        std::ofstream(args["--out"].asString()) << report.dump(2) << '\n';
+    if (groups.empty() || task.kept())
+        return 0;
+    for (const auto &it : report["breaches"])
+        std::cerr << "BROKEN: " << it.get<std::string>() << '\n';
+    return exit_broken;
+}
--- a/src/support/metrics.cpp
+++ b/src/support/metrics.cpp
@@ -1,5 +1,6 @@
 #include "support/metrics.h"
 
+#include <algorithm>
 #include <boost/histogram.hpp>
 #include <sstream>
 
@@ -20,6 +21,16 @@
     return bh::make_histogram(log_axis(bins, least_seconds, most_seconds));
 }
 
+/// The bin below the axis's start. Bins are visited by number: under C++20 the comparison of this version's
+/// `indexed` iterators calls itself.
+constexpr int underflow = -1;
+
+template <typename Values>
+double upper_edge(const Values &values, int bin)
+{
+    return std::min(values.axis().value(bin + 1), most_seconds);
+}
+
 std::string braced(const std::string &labels)
 {
     return labels.empty() ? "" : '{' + labels + '}';
@@ -57,12 +68,13 @@
 {
     const auto wanted = static_cast<double>(impl_->count) * part;
     double seen = 0;
-    for (const auto &&it : bh::indexed(impl_->values, bh::coverage::all)) {
-        seen += *it;
-        if (seen < wanted || *it == 0)
+    for (int n = underflow; n <= bins; ++n) {
+        const double in_bin = impl_->values.at(n);
+        seen += in_bin;
+        if (seen < wanted || in_bin == 0)
             continue;
-        const auto edge = std::min(it.bin().upper(), most_seconds);
-        return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::duration<double>(edge));
+        const std::chrono::duration<double> edge(upper_edge(impl_->values, n));
+        return std::chrono::duration_cast<std::chrono::microseconds>(edge);
     }
     return std::chrono::microseconds(0);
 }
@@ -72,10 +84,12 @@
     std::ostringstream text;
     double seen = 0;
     const auto prefix = labels.empty() ? "" : labels + ',';
-    for (const auto &&it : bh::indexed(impl_->values, bh::coverage::all)) {
-        seen += *it;
-        if (*it > 0 && it.bin().upper() <= most_seconds)
-            text << name << "_bucket{" << prefix << "le=\"" << it.bin().upper() << "\"} " << seen << '\n';
+    for (int n = underflow; n < bins; ++n) {
+        const double in_bin = impl_->values.at(n);
+        seen += in_bin;
+        if (in_bin > 0)
+            text << name << "_bucket{" << prefix << "le=\"" << upper_edge(impl_->values, n) << "\"} " << seen
+                 << '\n';
     }
     text << name << "_bucket{" << prefix << "le=\"+Inf\"} " << impl_->count << '\n';
     text << name << "_sum" << braced(labels) << ' ' << impl_->sum << '\n';
--- a/standins/standin_group.cpp
+++ b/standins/standin_group.cpp
@@ -390,6 +390,10 @@
             servers_.at(wanted["crash"].get<std::size_t>())->crash();
         if (wanted.contains("restart"))
             servers_.at(wanted["restart"].get<std::size_t>())->restart();
+        if (wanted.value("restart_all", false))
+            repair_all();
+        if (wanted.contains("isolate"))
+            isolate(wanted["isolate"].get<instance_id>());
         if (wanted.contains("lag_ms")) {
             for (instance_id it = 0; it < options_.instances; ++it)
                 model_.set_lag(it, std::chrono::milliseconds(wanted["lag_ms"].get<int>()));
@@ -416,6 +420,27 @@
             options_.long_time = std::chrono::milliseconds(wanted["long_ms"].get<int>());
     }
 
+    /// Cuts an instance from the others and from every process.
+    void isolate(instance_id instance)
+    {
+        for (instance_id it = 0; it < options_.instances; ++it) {
+            if (it != instance)
+                model_.set_cut(instance, it, true);
+        }
+        servers_.at(instance)->silence("*", true);
+    }
+
+    void repair_all()
+    {
+        for (instance_id it = 0; it < options_.instances; ++it) {
+            if (!model_.up(it))
+                servers_[it]->restart();
+            servers_[it]->silence("*", false);
+            for (instance_id other = 0; other < options_.instances; ++other)
+                model_.set_cut(it, other, false);
+        }
+    }
+
     [[nodiscard]] json dump(bool with_log) const
     {
         json out;
