--- a/Makefile
+++ b/Makefile
@@ -65,3 +65,10 @@
 	@measure/failover.sh
 
 measure: measure-failover measure-load
+
+.PHONY: measure-slopes measure-document
+measure-slopes: build
+	@measure/slopes.sh
+
+measure-document: build
+	@measure/document.sh
--- a/demo/site.sh
+++ b/demo/site.sh
@@ -56,6 +56,15 @@
   echo "[${out%,}]"
 }
 
+processes_json() {
+  local vm out=""
+  for vm in $(seq 1 "$VMS"); do
+    out+="{\"name\": \"entry-$vm\", \"operators\": \"127.0.0.1:$(($(entry_port "$vm") + 1))\"},"
+    out+="{\"name\": \"pooler-$vm\", \"operators\": \"127.0.0.1:$(($(entry_port "$vm") + 3))\"},"
+  done
+  echo "[${out%,}]"
+}
+
 # Writes the settings of one program on one VM: entry or pooler.
 write_settings() {
   local program=$1 vm=$2 port face operators
@@ -77,6 +86,7 @@
   "store": "$(store_address)",
   "policy": "$POLICY",
   "keys": {"inner": "demo-inner-key-0001", "session": "demo-session-key-0001", "operators": "demo-operator-key-0001"},
+  "processes": $(processes_json),
   "poolers": $(poolers_json),
   "databases": $(databases_json)
 }
--- a/measure/failover.sh
+++ b/measure/failover.sh
@@ -31,9 +31,10 @@
 }
 
 # Instances that were primary come back as replicas; the next run fails whichever is primary by then.
-measure_kind crash '{\\"crash\\": \\"primary\\"}' '{\\"restart_all\\": true}'
-measure_kind frozen '{\\"silence\\": {\\"instance\\": \\"primary\\"}}' '{\\"restart_all\\": true}'
-measure_kind cut_from_replicas '{\\"isolate\\": \\"primary\\"}' '{\\"restart_all\\": true}'
+KINDS=${KINDS:-"crash frozen cut_from_replicas"}
+[[ $KINDS == *crash* ]] && measure_kind crash '{\\"crash\\": \\"primary\\"}' '{\\"restart_all\\": true}'
+[[ $KINDS == *frozen* ]] && measure_kind frozen '{\\"silence\\": {\\"instance\\": \\"primary\\"}}' '{\\"restart_all\\": true}'
+[[ $KINDS == *cut_from* ]] && measure_kind cut_from_replicas '{\\"isolate\\": \\"primary\\"}' '{\\"restart_all\\": true}'
 echo '  "unit": "ms"' >>build/measure/failover.json
 echo '}' >>build/measure/failover.json
 [ $result -eq 0 ] && echo "measure-failover: every promise kept" || echo "measure-failover: PROMISES BROKEN"
--- a/src/admission/duration_estimator.cpp
+++ b/src/admission/duration_estimator.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t max_labels = 512;
+constexpr std::uint64_t trusted_samples = 8;
 constexpr double gain = 0.125;
 constexpr double spread_gain = 0.25;
 constexpr std::chrono::microseconds unknown_label_time{2000};
@@ -26,8 +27,9 @@
 {
     auto &it = slot_of(label);
     const auto value = static_cast<double>(took.count());
+    ++it.samples;
     if (!it.known) {
-        it = {value, value / 2, true};
+        it = {value, value / 2, true, it.samples};
         return;
     }
     it.spread += spread_gain * (std::abs(value - it.mean) - it.spread);
@@ -37,6 +39,8 @@
 void duration_estimator::running(const std::string &label, std::chrono::microseconds so_far)
 {
     auto &it = slot_of(label);
+    if (it.samples >= trusted_samples)
+        return; // beside a history, one that hangs says more of its instance than of its label
     it.mean = std::max(it.mean, static_cast<double>(so_far.count()));
     it.known = true;
 }
--- a/src/admission/duration_estimator.h
+++ b/src/admission/duration_estimator.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <unordered_map>
 
@@ -20,7 +21,7 @@
     /// Takes in a finished statement.
     void finished(const std::string &label, std::chrono::microseconds took);
 
-    /// Takes in that a statement still runs after this time.
+    /// Takes in that a statement still runs after this time; counts while the label has little history.
     void running(const std::string &label, std::chrono::microseconds so_far);
 
     /**
@@ -39,6 +40,7 @@
         double mean = 0;   ///< microseconds
         double spread = 0; ///< mean deviation, microseconds
         bool known = false;
+        std::uint64_t samples = 0; ///< finished statements
     };
 
     estimate &slot_of(const std::string &label);
--- a/src/admission/request_ledger.cpp
+++ b/src/admission/request_ledger.cpp
@@ -26,7 +26,7 @@
     if (it == entries_.end())
         return {};
     auto joined = std::exchange(it->second.joined, {});
-    if (answer.outcome == consistency::verdict::not_run) {
+    if (answer.outcome != consistency::verdict::ran) {
         entries_.erase(it);
         return joined;
     }
--- a/src/admission/request_ledger.h
+++ b/src/admission/request_ledger.h
@@ -19,7 +19,8 @@
 /**
  * Holds the running and the lately answered requests that carry an id.
  *
- * An answer of `not_run` is not kept: the caller's next try may run.
+ * Only an answer of `ran` is kept. After `not_run` the caller's next try may run; after `unknown` it goes to
+ * the database, where the id stands beside the first run if there was one.
  */
 class request_ledger
 {
--- /dev/null
+++ b/src/ctl/fleet_commands.cpp
@@ -0,0 +1,114 @@
+#include "ctl/fleet_commands.h"
+
+#include "ctl/fleet_report.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <ostream>
+
+namespace baobabport::ctl {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds process_timeout{1000};
+
+} // namespace
+
+fleet_commands::fleet_commands(const settings::process_settings &settings, std::ostream &out, std::ostream &err)
+    : settings_(settings), out_(out), err_(err)
+{}
+
+const settings::process_place *fleet_commands::find(const std::string &process)
+{
+    const auto it = std::find_if(settings_.processes.begin(), settings_.processes.end(),
+                                 [&](const auto &place) { return place.name == process; });
+    if (it != settings_.processes.end())
+        return &*it;
+    err_ << process << ": not among the settings' processes\n";
+    return nullptr;
+}
+
+json fleet_commands::ask(const settings::process_place &process)
+{
+    const auto answer =
+        client_.call(process.operators, {http::method_kind::get, "/state", {}, {}, process_timeout});
+    if (answer.failure != http::client_failure::none || answer.status != 200)
+        return {};
+    return json::parse(answer.body, nullptr, false);
+}
+
+int fleet_commands::status(bool as_json)
+{
+    std::vector<json> states;
+    std::vector<std::string> silent;
+    for (const auto &it : settings_.processes) {
+        auto state = ask(it);
+        if (state.is_object())
+            states.push_back(std::move(state));
+        else
+            silent.push_back(it.name);
+    }
+    const auto report = make_fleet_report(states, silent);
+    if (as_json)
+        out_ << report.dump(2) << '\n';
+    else
+        print(report);
+    return silent.empty() ? exit_done : exit_partial;
+}
+
+void fleet_commands::print(const json &report)
+{
+    for (const auto &it : report["problems"])
+        out_ << "WRONG  " << it.get<std::string>() << '\n';
+    for (const auto &[name, it] : report["databases"].items()) {
+        out_ << name;
+        for (const auto &home : it.value("homes", json::array()))
+            out_ << "  home " << home["process"].get<std::string>() << " primary "
+                 << home["primary"].get<std::string>() << " term " << home["term"] << " queue " << home["queue"];
+        out_ << "  revisions";
+        const auto revisions = it.value("revisions", json::object());
+        for (const auto &[process, revision] : revisions.items())
+            out_ << ' ' << process << '=' << revision;
+        out_ << '\n';
+    }
+    if (report["problems"].empty())
+        out_ << "nothing wrong at " << report["processes"].size() << " processes\n";
+}
+
+int fleet_commands::state(const std::string &process)
+{
+    const auto *const place = find(process);
+    if (!place)
+        return exit_usage;
+    const auto state = ask(*place);
+    if (!state.is_object()) {
+        err_ << process << ": gives no answer\n";
+        return exit_partial;
+    }
+    out_ << state.dump(2) << '\n';
+    return exit_done;
+}
+
+int fleet_commands::drain(const std::string &process)
+{
+    const auto *const place = find(process);
+    if (!place)
+        return exit_usage;
+    const auto answer = client_.call(place->operators, {http::method_kind::post, "/drain", "{}",
+                                                        {{"Authorization", "Bearer " + settings_.keys.operators}},
+                                                        process_timeout});
+    if (answer.failure != http::client_failure::none) {
+        err_ << process << ": gives no answer\n";
+        return exit_partial;
+    }
+    if (answer.status != 200) {
+        err_ << process << ": refused the operators' key\n";
+        return exit_refused;
+    }
+    out_ << process << ": stopping; it exits once everything in progress has ended\n";
+    return exit_done;
+}
+
+} // namespace baobabport::ctl
--- /dev/null
+++ b/src/ctl/fleet_commands.h
@@ -0,0 +1,43 @@
+// The operator's commands on processes: status, state and drain.
+
+#pragma once
+
+#include "ctl/exit_status.h"
+#include "http/blocking_client.h"
+#include "settings/process_settings.h"
+
+#include <iosfwd>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+namespace baobabport::ctl {
+
+/**
+ * Asks the processes that the settings name, on their operators' addresses.
+ */
+class fleet_commands
+{
+public:
+    fleet_commands(const settings::process_settings &settings, std::ostream &out, std::ostream &err);
+
+    /// Shows what is in force where; what is wrong comes first.
+    int status(bool as_json);
+
+    /// Shows one process's whole state.
+    int state(const std::string &process);
+
+    /// Begins a planned stop of one process.
+    int drain(const std::string &process);
+
+private:
+    [[nodiscard]] const settings::process_place *find(const std::string &process);
+    nlohmann::json ask(const settings::process_place &process);
+    void print(const nlohmann::json &report);
+
+    const settings::process_settings &settings_;
+    std::ostream &out_;
+    std::ostream &err_;
+    http::blocking_client client_;
+};
+
+} // namespace baobabport::ctl
--- a/src/home/database_home.cpp
+++ b/src/home/database_home.cpp
@@ -275,7 +275,9 @@
     const auto wait = expected_wait(state.policy.priority);
     const auto retry_after =
         std::max(min_retry_after, std::chrono::duration_cast<std::chrono::milliseconds>(wait));
-    if (settings_.policy == policy_kind::session && now + wait + item.cost > state.deadline) {
+    // With nothing ahead a request always gets its try: an estimate gone wrong must not refuse for ever.
+    const bool in_time = wait.count() == 0 || now + wait + item.cost <= state.deadline;
+    if (settings_.policy == policy_kind::session && !in_time) {
         finish_as(key, verdict::not_run, "cannot_finish_in_time", now, retry_after);
         return;
     }
@@ -400,7 +402,8 @@
         const auto last = monitor_.last_heard(it);
         reached += last && monitor_.healthy(it) && now - *last < heard_lately ? 1 : 0;
     }
-    out.primary_reachable = heard && monitor_.healthy(request.primary) && now - *heard < heard_lately &&
+    out.primary_reachable = heard && monitor_.healthy(request.primary) &&
+                            now - *heard < document_->failover.silent_after &&
                             reached >= monitor_.view().majority();
     return out;
 }
--- a/src/home/database_home_dispatch.cpp
+++ b/src/home/database_home_dispatch.cpp
@@ -64,7 +64,8 @@
 
 void database_home::open_connections(time_point now)
 {
-    if (draining_ || now - last_request_ > release_after)
+    const bool nothing_to_do = requests_.empty() && (draining_ || now - last_request_ > release_after);
+    if (nothing_to_do)
         return;
     std::vector<bool> may_open(settings_.instances.size());
     const auto primary = monitor_.view().primary();
--- a/src/load/load_task.cpp
+++ b/src/load/load_task.cpp
@@ -16,7 +16,10 @@
 constexpr std::chrono::milliseconds answer_slack{2000};
 constexpr std::chrono::seconds control_timeout{2};
 
-double ms(microseconds value) { return static_cast<double>(value.count()) / 1000.0; }
+double ms(microseconds value)
+{
+    return static_cast<double>(value.count()) / 1000.0;
+}
 
 std::size_t primary_in(const json &state)
 {
@@ -179,9 +182,11 @@
     ++result.read_backs;
     result.read_backs_by_replica += body.value("by_replica", false) ? 1 : 0;
     const auto &rows = body["rows"];
-    const bool own = rows.is_array() && rows.size() == 1 && rows[0].value("value", "") == std::to_string(it.number);
+    const bool own =
+        rows.is_array() && rows.size() == 1 && rows[0].value("value", "") == std::to_string(it.number);
     if (!own && streams_[it.stream].plan.keys == 0)
-        ledger_.stale_read(it.database + ' ' + it.request_id + ": its caller read it back and did not see it");
+        ledger_.stale_read(it.database + ' ' + it.request_id +
+                           ": its caller read it back and did not see it");
 }
 
 void load_task::begin_fault(const timed_fault &it)
@@ -194,7 +199,7 @@
     const auto place = *group;
     controls_.push_back(client);
     client->send({http::method_kind::get, "/state", {}, {}, control_timeout}, [this, client, it,
-                                                                              place](const auto &answer) {
+                                                                               place](const auto &answer) {
         const auto state = json::parse(answer.body, nullptr, false);
         auto control = json::parse(it.control, nullptr, false);
         if (!state.is_object() || !control.is_object())
--- a/src/load/workload_plan.cpp
+++ b/src/load/workload_plan.cpp
@@ -46,7 +46,8 @@
     json_fields fields(*object, "", error);
     fields.milliseconds("duration_ms", out.duration, {100, hour_ms}, true);
     fields.number("seed", out.seed, {0, 4294967295});
-    fields.objects("streams", [&](json_fields &below) { read_stream(below, out.streams.emplace_back()); }, true);
+    fields.objects(
+        "streams", [&](json_fields &below) { read_stream(below, out.streams.emplace_back()); }, true);
     fields.objects("faults", [&](json_fields &below) {
         auto &it = out.faults.emplace_back();
         below.milliseconds("at_ms", it.at, {0, hour_ms}, true);
--- a/src/load/workload_plan.h
+++ b/src/load/workload_plan.h
@@ -19,13 +19,13 @@
     std::vector<std::string> databases; ///< taken in turn
     std::uint32_t rate = 10;            ///< arrivals a second
     std::chrono::milliseconds from{0};
-    std::chrono::milliseconds to{0};    ///< 0: the run's end
-    std::uint32_t keys = 0;             ///< 0: each write has a key of its own
-    std::uint32_t prefixes = 1;         ///< route sheets: how many different ones
+    std::chrono::milliseconds to{0}; ///< 0: the run's end
+    std::uint32_t keys = 0;          ///< 0: each write has a key of its own
+    std::uint32_t prefixes = 1;      ///< route sheets: how many different ones
     bool write = false;
-    std::string read_back_class;        ///< after each acknowledged write, read it through another entry
+    std::string read_back_class; ///< after each acknowledged write, read it through another entry
     std::chrono::milliseconds deadline{2000};
-    bool new_sessions = false;          ///< each request begins a session
+    bool new_sessions = false; ///< each request begins a session
 };
 
 /// A change made to a group while the load runs.
--- a/src/pooler/home_task.cpp
+++ b/src/pooler/home_task.cpp
@@ -112,6 +112,7 @@
     const auto it = connections_.find(call.connection);
     if (it == connections_.end())
         return;
+    ++statements_;
     const auto connection = call.connection;
     const auto id = call.call;
     it->second->send(named(statement_request_for(call)), [this, connection, id](const auto &answer) {
@@ -124,6 +125,7 @@
 {
     auto &links = controls_[command.instance];
     const bool waits = command.wait_for != consistency::position{};
+    ++(waits ? wait_commands_ : status_commands_);
     auto &client = command.kind != command_kind::status ? links.command : waits ? links.wait : links.status;
     // A connection whose last question is unanswered is given up with it.
     if (!client || client->busy())
@@ -161,31 +163,33 @@
     for (const auto &it : home_.document().classes)
         classes[it.name] = {{"queued", home_.queue().length_of(it.name)}};
     const auto &counters = home_.counters();
-    return {{"database", place_.name},
-            {"term", view.primary_term()},
-            {"instances", instances},
-            {"classes", classes},
-            {"queue_length", home_.queue().length()},
-            {"queue_bytes", home_.queue().bytes()},
-            {"held_answers", home_.held()},
-            {"open_transactions", home_.open_transactions()},
-            {"document_revision", home_.document().revision},
-            {"acknowledged",
-             {{"term", home_.acknowledged_floor().term}, {"offset", home_.acknowledged_floor().offset}}},
-            {"failover",
-             {{"phase", static_cast<int>(home_.monitor().controller().current())},
-              {"last_reason", home_.monitor().controller().last_reason()},
-              {"promotions", counters.promotions}}},
-            {"reads",
-             {{"by_replica", counters.reads_by_replica},
-              {"by_primary", counters.reads_by_primary},
-              {"shared", counters.reads_shared}}},
-            {"retries", counters.retries},
-            {"verdicts",
-             {{"ran", counters.verdicts[0]},
-              {"not_run", counters.verdicts[1]},
-              {"unknown", counters.verdicts[2]}}},
-            {"reasons", counters.refusals}};
+    return {
+        {"database", place_.name},
+        {"term", view.primary_term()},
+        {"instances", instances},
+        {"classes", classes},
+        {"queue_length", home_.queue().length()},
+        {"queue_bytes", home_.queue().bytes()},
+        {"held_answers", home_.held()},
+        {"open_transactions", home_.open_transactions()},
+        {"document_revision", home_.document().revision},
+        {"acknowledged",
+         {{"term", home_.acknowledged_floor().term}, {"offset", home_.acknowledged_floor().offset}}},
+        {"failover",
+         {{"phase", static_cast<int>(home_.monitor().controller().current())},
+          {"last_reason", home_.monitor().controller().last_reason()},
+          {"promotions", counters.promotions}}},
+        {"reads",
+         {{"by_replica", counters.reads_by_replica},
+          {"by_primary", counters.reads_by_primary},
+          {"shared", counters.reads_shared}}},
+        {"retries", counters.retries},
+        {"messages", {{"status", status_commands_}, {"wait", wait_commands_}, {"statement", statements_}}},
+        {"verdicts",
+         {{"ran", counters.verdicts[0]},
+          {"not_run", counters.verdicts[1]},
+          {"unknown", counters.verdicts[2]}}},
+        {"reasons", counters.refusals}};
 }
 
 } // namespace baobabport::pooler
--- a/src/pooler/home_task.h
+++ b/src/pooler/home_task.h
@@ -73,6 +73,9 @@
     std::map<home::connection_id, std::unique_ptr<http::http_client>> connections_;
     home::database_home home_;
     inner::timer timer_;
+    std::uint64_t status_commands_ = 0; ///< control: probes, fences and promotions
+    std::uint64_t wait_commands_ = 0;   ///< statement work: waits for a write's position
+    std::uint64_t statements_ = 0;
 };
 
 } // namespace baobabport::pooler
--- a/src/pooler/pooler_task.cpp
+++ b/src/pooler/pooler_task.cpp
@@ -1,5 +1,6 @@
 #include "pooler/pooler_task.h"
 
+#include "document/override_rules.h"
 #include "inner/message_codec.h"
 #include "support/json_log.h"
 
@@ -346,7 +347,12 @@
 void pooler_task::housekeeping()
 {
     const auto now = steady_clock::now();
+    const auto unix_now =
+        std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch());
     for (auto &[name, state] : databases_) {
+        if (state.home)
+            state.home->decisions().set_shed(
+                document::shed_classes(state.home->decisions().document(), unix_now));
         std::vector<home::request_key> late;
         std::erase_if(state.waiting, [&](const auto &it) {
             const auto left = it.request.time_left.count() > 0 ? it.request.time_left : default_deadline;
--- a/src/programs/ctl_main.cpp
+++ b/src/programs/ctl_main.cpp
@@ -1,6 +1,7 @@
 // The operator's command line.
 
 #include "ctl/document_commands.h"
+#include "ctl/fleet_commands.h"
 #include "programs/program_main.h"
 
 #include <cstdlib>
@@ -9,7 +10,7 @@
 
 namespace {
 
-constexpr const char *usage = R"(Changes and shows the operators' documents.
+constexpr const char *usage = R"(Changes and shows documents, shows and stops processes.
 
 Usage:
   baobabport-ctl check FILE
@@ -17,12 +18,16 @@
   baobabport-ctl diff DATABASE DOCUMENT --settings FILE
   baobabport-ctl apply DATABASE DOCUMENT --settings FILE [--expect-revision N] [--note TEXT]
   baobabport-ctl history DATABASE --settings FILE
+  baobabport-ctl status --settings FILE [--json]
+  baobabport-ctl state PROCESS --settings FILE
+  baobabport-ctl drain PROCESS --settings FILE
   baobabport-ctl (-h | --help | --version)
 
 Options:
   --settings FILE      Settings of any process: they name the store and the others.
   --expect-revision N  Change nothing unless the store holds this revision.
   --note TEXT          Why, for the history [default: ].
+  --json               Show the status as JSON.
   --version            Show the version.
   -h --help            Show this text.
 
@@ -58,6 +63,13 @@
     auto loaded = programs::load_settings(settings::program_kind::tool, args["--settings"].asString());
     if (!loaded)
         return programs::exit_bad_usage;
+    ctl::fleet_commands fleet(*loaded, std::cout, std::cerr);
+    if (args["status"].asBool())
+        return fleet.status(args["--json"].asBool());
+    if (args["state"].asBool())
+        return fleet.state(args["PROCESS"].asString());
+    if (args["drain"].asBool())
+        return fleet.drain(args["PROCESS"].asString());
     ctl::document_commands commands(*loaded, std::cout, std::cerr);
     const auto database = args["DATABASE"].isString() ? args["DATABASE"].asString() : std::string();
     if (args["show"].asBool())
--- a/src/programs/load_main.cpp
+++ b/src/programs/load_main.cpp
@@ -10,6 +10,7 @@
 #include <event2/event.h>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <nlohmann/json.hpp>
 
 namespace {
@@ -19,12 +20,13 @@
 constexpr const char *usage = R"(Sends a workload to running entries and checks every acknowledged write.
 
 Usage:
-  baobabport-load WORKLOAD --entry IP:PORT... [--group NAME=IP:PORT...] [--out FILE] [--quiet]
+  baobabport-load WORKLOAD --entry IP:PORT... [--group NAME=IP:PORT...] [--idle N] [--out FILE] [--quiet]
   baobabport-load (-h | --help | --version)
 
 Options:
   --entry IP:PORT       An entry's callers' address; requests go to all in turn.
   --group NAME=IP:PORT  A database's stand-in control address: for faults and for the check of its log.
+  --idle N              Open this many more connections to the first entry and keep them [default: 0].
   --out FILE            Write the results there as JSON.
   --quiet               No progress and no table.
   --version             Show the version.
@@ -49,6 +51,23 @@
     return load::group_place{text.substr(0, equals), *at};
 }
 
+/// Opens connections and keeps them; returns false if one was not answered.
+bool open_idle(http::blocking_client &loop, const support::address &entry, long wanted,
+               std::vector<std::unique_ptr<http::http_client>> &out)
+{
+    long answered = 0;
+    long failed = 0;
+    for (long n = 0; n < wanted; ++n) {
+        auto &client = out.emplace_back(std::make_unique<http::http_client>(loop.loop(), entry));
+        client->send({http::method_kind::get, "/health", {}, {}, log_timeout}, [&](const auto &answer) {
+            ++(answer.failure == http::client_failure::none ? answered : failed);
+        });
+        while (answered + failed <= n)
+            event_base_loop(loop.loop(), EVLOOP_ONCE);
+    }
+    return failed == 0;
+}
+
 void print_table(const nlohmann::json &report)
 {
     std::printf("%-18s %8s %8s %8s %8s %9s %9s %9s %10s\n", "stream", "sent", "ran", "not_run", "unknown",
@@ -95,6 +114,13 @@
         }
         groups.push_back(*group);
     }
+    http::blocking_client idle_client;
+    std::vector<std::unique_ptr<http::http_client>> idle;
+    const bool opened = open_idle(idle_client, entries.front(), args["--idle"].asLong(), idle);
+    if (!opened) {
+        std::cerr << "--idle: the entry did not take all connections\n";
+        return exit_usage;
+    }
     const bool quiet = args["--quiet"].asBool();
     http::blocking_client client;
     bool finished = false;
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -39,6 +39,13 @@
     std::vector<instance_place> instances;
 };
 
+/// A process and where it answers operators; for tools.
+struct process_place
+{
+    std::string name;
+    support::address operators;
+};
+
 /// Secrets, never logged nor dumped. A former key is accepted while keys change.
 struct key_ring
 {
@@ -72,6 +79,7 @@
     support::address store;
     std::vector<pooler_place> poolers;
     std::vector<database_place> databases;
+    std::vector<process_place> processes; ///< all entries and poolers; for tools
     key_ring keys;
     entry_limits limits;
     home::policy_kind policy = home::policy_kind::session;
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -141,6 +141,11 @@
         "poolers", [&](json_fields &below) { read_pooler(below, out.poolers.emplace_back()); }, true);
     fields.objects(
         "databases", [&](json_fields &below) { read_database(below, out.databases.emplace_back()); }, true);
+    fields.objects("processes", [&](json_fields &below) {
+        auto &it = out.processes.emplace_back();
+        below.text("name", it.name, true);
+        read_address(below, "operators", it.operators);
+    });
     fields.milliseconds("stop_within_ms", out.stop_within, {100, 600000});
     if (const auto policy = fields.choice("policy", {"session", "plain"}))
         out.policy = *policy == 0 ? home::policy_kind::session : home::policy_kind::plain;
--- /dev/null
+++ b/tests/admission/test_request_queue.cpp
@@ -0,0 +1,97 @@
+// Strict first class, weights below it, an ageing guard, and bounds.
+
+#include "admission/request_queue.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace baobabport;
+using admission::queued_request;
+using admission::request_queue;
+using document::priority_kind;
+using std::chrono::milliseconds;
+
+namespace {
+
+const admission::time_point start{std::chrono::hours(1)};
+
+queued_request make(std::uint64_t key, const char *name, priority_kind priority, std::uint32_t weight = 1)
+{
+    return {key, name, priority, weight, milliseconds(10), 10, start, start + milliseconds(1000)};
+}
+
+const auto anything = [](const queued_request &) { return true; };
+
+} // namespace
+
+TEST_CASE("the first priority goes first, whatever waits")
+{
+    request_queue queue;
+    const document::limit_policy limits;
+    for (std::uint64_t n = 0; n < 10; ++n)
+        REQUIRE(queue.push(make(n, "audit", priority_kind::background), limits));
+    REQUIRE(queue.push(make(100, "sign_off", priority_kind::first), limits));
+    CHECK(queue.take(anything, limits, start)->key == 100);
+}
+
+TEST_CASE("weights share slot time within a priority")
+{
+    request_queue queue;
+    const document::limit_policy limits;
+    for (std::uint64_t n = 0; n < 400; ++n) {
+        REQUIRE(queue.push(make(n, "heavy", priority_kind::normal, 3), limits));
+        REQUIRE(queue.push(make(1000 + n, "light", priority_kind::normal, 1), limits));
+    }
+    std::map<std::string, int> taken;
+    for (int n = 0; n < 200; ++n)
+        ++taken[queue.take(anything, limits, start)->class_name];
+    CHECK(taken["heavy"] >= 145);
+    CHECK(taken["heavy"] <= 155);
+}
+
+TEST_CASE("a request that has waited long is lifted, but age does not undo priority")
+{
+    request_queue queue;
+    const document::limit_policy limits;
+    REQUIRE(queue.push(make(1, "audit", priority_kind::background), limits));
+    const auto later = start + 2 * limits.ageing;
+    int until_audit = 0;
+    for (std::uint64_t n = 10; n < 40; ++n) {
+        auto fresh = make(n, "sign_off", priority_kind::first);
+        fresh.enqueued_at = later;
+        REQUIRE(queue.push(fresh, limits));
+    }
+    while (queue.take(anything, limits, later)->key != 1)
+        ++until_audit;
+    CHECK(until_audit >= 3);
+    CHECK(until_audit < 30);
+}
+
+TEST_CASE("a request that cannot go does not stop those behind it")
+{
+    request_queue queue;
+    const document::limit_policy limits;
+    REQUIRE(queue.push(make(1, "write", priority_kind::first), limits));
+    REQUIRE(queue.push(make(2, "read", priority_kind::normal), limits));
+    const auto next = queue.take([](const auto &it) { return it.key == 2; }, limits, start);
+    REQUIRE(next);
+    CHECK(next->key == 2);
+    CHECK(queue.length() == 1);
+}
+
+TEST_CASE("length and bytes are bounded and counted back")
+{
+    request_queue queue;
+    document::limit_policy limits;
+    limits.queue_length = 3;
+    limits.queue_bytes = 25;
+    CHECK(queue.push(make(1, "a", priority_kind::normal), limits));
+    CHECK(queue.push(make(2, "a", priority_kind::normal), limits));
+    CHECK_FALSE(queue.push(make(3, "a", priority_kind::normal), limits));
+    CHECK(queue.remove(1));
+    CHECK(queue.bytes() == 10);
+    CHECK(queue.push(make(4, "a", priority_kind::normal), limits));
+    CHECK(queue.take_expired(start + milliseconds(1000)).size() == 2);
+    CHECK(queue.length() == 0);
+    CHECK(queue.bytes() == 0);
+}
--- /dev/null
+++ b/tests/inner/test_stream_connection.cpp
@@ -0,0 +1,146 @@
+// Messages travel over real sockets, and only between processes that share a key.
+
+#include "inner/message_codec.h"
+#include "inner/stream_connection.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <event2/event.h>
+#include <event2/util.h>
+#include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace baobabport::inner;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A listener's address and the two ends of one connection, in one loop.
+struct pair_of_ends
+{
+    explicit pair_of_ends(const shared_keys &client_keys, const shared_keys &server_keys)
+        : base(event_base_new())
+    {
+        listener = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ::bind(listener, reinterpret_cast<sockaddr *>(&at), sizeof(at));
+        ::listen(listener, 1);
+        socklen_t length = sizeof(at);
+        ::getsockname(listener, reinterpret_cast<sockaddr *>(&at), &length);
+        stream_connection::hooks client_hooks;
+        client_hooks.closed = [this](const std::string &reason) { client_closed = reason; };
+        client = stream_connection::connect(base, {"127.0.0.1", ntohs(at.sin_port)}, "client", client_keys,
+                                            client_hooks);
+        const int socket = ::accept(listener, nullptr, nullptr);
+        evutil_make_socket_nonblocking(socket);
+        stream_connection::hooks server_hooks;
+        server_hooks.received = [this](message_kind kind, const std::string &body, auto stream) {
+            received.push_back(body);
+            if (kind == message_kind::statement && answers)
+                server->reply(stream, "answer to " + body);
+        };
+        server_hooks.closed = [this](const std::string &reason) { server_closed = reason; };
+        server = stream_connection::accept(base, socket, "server", server_keys, server_hooks);
+    }
+    ~pair_of_ends()
+    {
+        client.reset();
+        server.reset();
+        event_base_free(base);
+        ::close(listener);
+    }
+    pair_of_ends(const pair_of_ends &) = delete;
+    pair_of_ends &operator=(const pair_of_ends &) = delete;
+
+    template <typename Condition>
+    void run_until(Condition condition)
+    {
+        while (!condition())
+            event_base_loop(base, EVLOOP_ONCE);
+    }
+
+    event_base *base;
+    int listener = -1;
+    std::unique_ptr<stream_connection> client;
+    std::unique_ptr<stream_connection> server;
+    std::vector<std::string> received;
+    std::string client_closed;
+    std::string server_closed;
+    bool answers = true;
+};
+
+const shared_keys key{"0123456789abcdef", {}};
+
+} // namespace
+
+TEST_CASE("a large message comes back answered by its own stream")
+{
+    pair_of_ends ends(key, key);
+    std::vector<std::string> answers;
+    const std::string large(1 << 20, 'x');
+    for (const auto &it : {std::string("one"), large, std::string("three")})
+        ends.client->send(message_kind::statement, it, milliseconds(20000),
+                          [&](const auto &outcome) { answers.push_back(outcome.body); });
+    ends.run_until([&] { return answers.size() == 3; });
+    std::sort(answers.begin(), answers.end(), [](const auto &a, const auto &b) { return a.size() < b.size(); });
+    CHECK(answers[0] == "answer to one");
+    CHECK(answers[2] == "answer to " + large);
+}
+
+TEST_CASE("another key is refused before the first message")
+{
+    pair_of_ends ends({"another key of length", {}}, key);
+    std::optional<stream_outcome> outcome;
+    ends.client->send(message_kind::statement, "x", milliseconds(20000), [&](const auto &it) { outcome = it; });
+    ends.run_until([&] { return outcome && !ends.client_closed.empty(); });
+    CHECK_FALSE(outcome->answered);
+    CHECK_FALSE(outcome->may_have_arrived);
+    CHECK(ends.client_closed == "wrong_key");
+    CHECK(ends.received.empty());
+}
+
+TEST_CASE("a former key is accepted while keys change")
+{
+    pair_of_ends ends(key, {"a new key of some length", key.key});
+    std::optional<stream_outcome> outcome;
+    ends.client->send(message_kind::statement, "x", milliseconds(20000), [&](const auto &it) { outcome = it; });
+    ends.run_until([&] { return outcome || !ends.client_closed.empty(); });
+    // The old process does not know the new key: the handbook has both know it first.
+    CHECK(ends.client_closed == "wrong_key");
+    pair_of_ends both({key.key, "a new key of some length"}, {"a new key of some length", key.key});
+    std::optional<stream_outcome> answered;
+    both.client->send(message_kind::statement, "x", milliseconds(20000), [&](const auto &it) { answered = it; });
+    both.run_until([&] { return answered.has_value(); });
+    CHECK(answered->answered);
+}
+
+TEST_CASE("a message whose connection ends unanswered may have arrived")
+{
+    pair_of_ends ends(key, key);
+    ends.answers = false;
+    std::optional<stream_outcome> outcome;
+    ends.client->send(message_kind::statement, "x", milliseconds(20000), [&](const auto &it) { outcome = it; });
+    ends.run_until([&] { return !ends.received.empty(); });
+    ends.server.reset();
+    ends.run_until([&] { return outcome.has_value(); });
+    CHECK_FALSE(outcome->answered);
+    CHECK(outcome->may_have_arrived);
+}
+
+TEST_CASE("messages that are not of their type are not decoded")
+{
+    statement_request request;
+    request.database = "db";
+    request.floor = baobabport::consistency::position{1, 2};
+    const auto bytes = encode(request);
+    const auto back = decode<statement_request>(bytes);
+    REQUIRE(back);
+    CHECK(back->floor == request.floor);
+    CHECK_FALSE(decode<statement_answer>(bytes));
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        CHECK_FALSE(decode<statement_request>(bytes.substr(0, n)));
+}
