Paced store calls, homes that end, a slow tick when idle; a stand-in that keeps dead connections

Cause 2: a home once begun ticked 200 times a second and watched its document for ever. Change: pauses drawn at random per process (0 to 3 s after a shared change, doubling to 10 s after a failure); a home without requests for 60 s ends with its watch; an idle home ticks every 100 ms.

--- a/src/ctl/exit_status.h
+++ b/src/ctl/exit_status.h
@@ -4,7 +4,8 @@
 
 namespace baobabport::ctl {
 
-enum exit_status : int {
+enum exit_status : int
+{
     exit_done = 0,
     exit_refused = 1, ///< checked and found wrong, or a conflict; nothing was changed
     exit_usage = 2,   ///< bad usage or settings
--- a/src/ctl/fleet_commands.cpp
+++ b/src/ctl/fleet_commands.cpp
@@ -16,9 +16,11 @@
 
 } // namespace
 
-fleet_commands::fleet_commands(const settings::process_settings &settings, std::ostream &out, std::ostream &err)
+fleet_commands::fleet_commands(const settings::process_settings &settings, std::ostream &out,
+                               std::ostream &err)
     : settings_(settings), out_(out), err_(err)
-{}
+{
+}
 
 const settings::process_place *fleet_commands::find(const std::string &process)
 {
@@ -66,7 +68,8 @@
         out_ << name;
         for (const auto &home : it.value("homes", json::array()))
             out_ << "  home " << home["process"].get<std::string>() << " primary "
-                 << home["primary"].get<std::string>() << " term " << home["term"] << " queue " << home["queue"];
+                 << home["primary"].get<std::string>() << " term " << home["term"] << " queue "
+                 << home["queue"];
         out_ << "  revisions";
         const auto revisions = it.value("revisions", json::object());
         for (const auto &[process, revision] : revisions.items())
@@ -96,9 +99,12 @@
     const auto *const place = find(process);
     if (!place)
         return exit_usage;
-    const auto answer = client_.call(place->operators, {http::method_kind::post, "/drain", "{}",
-                                                        {{"Authorization", "Bearer " + settings_.keys.operators}},
-                                                        process_timeout});
+    const auto answer =
+        client_.call(place->operators, {http::method_kind::post,
+                                        "/drain",
+                                        "{}",
+                                        {{"Authorization", "Bearer " + settings_.keys.operators}},
+                                        process_timeout});
     if (answer.failure != http::client_failure::none) {
         err_ << process << ": gives no answer\n";
         return exit_partial;
--- a/src/ctl/fleet_report.cpp
+++ b/src/ctl/fleet_report.cpp
@@ -46,7 +46,8 @@
         problems.push_back(database + ": no primary known at " + process + "; see failover.md");
     for (const auto &it : home.at("instances")) {
         if (!it.value("healthy", true))
-            problems.push_back(database + ": instance " + it.value("name", "") + " does not answer " + process);
+            problems.push_back(database + ": instance " + it.value("name", "") + " does not answer " +
+                               process);
     }
 }
 
--- a/src/entry/entry_task.cpp
+++ b/src/entry/entry_task.cpp
@@ -51,8 +51,7 @@
       tokens_(settings_.keys.session, settings_.keys.former_session),
       store_(base, settings_.store, settings_.process),
       links_(base, settings_.process, {settings_.keys.inner, settings_.keys.former_inner}),
-      selector_(candidates_of(settings_), std::hash<std::string>{}(settings_.process)),
-      stop_timer_(base, [this] { check_stopped(); })
+      selector_(candidates_of(settings_), seed_of(settings_)), stop_timer_(base, [this] { check_stopped(); })
 {
     for (const auto &it : settings_.poolers) {
         links_.set_address(it.name, it.inner);
@@ -64,12 +63,13 @@
         for (const auto &it : place.instances)
             ranked.data_centres.push_back(it.data_centre);
     }
-    vm_list_task_ = std::make_unique<platform::vm_list_task>(base, store_, [this](const auto &list) {
-        for (const auto &it : settings_.poolers) {
-            const auto &names = list.leaving_vms;
-            selector_.set_leaving(it.name, std::find(names.begin(), names.end(), it.name) != names.end());
-        }
-    });
+    vm_list_task_ =
+        std::make_unique<platform::vm_list_task>(base, store_, seed_of(settings_), [this](const auto &list) {
+            for (const auto &it : settings_.poolers) {
+                const auto &names = list.leaving_vms;
+                selector_.set_leaving(it.name, std::find(names.begin(), names.end(), it.name) != names.end());
+            }
+        });
     http::operator_server::hooks hooks;
     hooks.healthy = [this] { return !draining_; };
     hooks.state = [this] { return dump(); };
--- a/src/home/database_home.h
+++ b/src/home/database_home.h
@@ -122,6 +122,14 @@
      */
     [[nodiscard]] bool is_idle() const { return requests_.empty() && transactions_.size() == 0; }
 
+    /**
+     * Returns true if nothing is in progress and no request came for `kept`.
+     */
+    [[nodiscard]] bool is_released(time_point now, std::chrono::milliseconds kept) const
+    {
+        return is_idle() && now - last_request_ >= kept;
+    }
+
     [[nodiscard]] const home_counters &counters() const { return counters_; }
     [[nodiscard]] const group_monitor &monitor() const { return monitor_; }
     [[nodiscard]] const connection_pool &connections() const { return pool_; }
--- a/src/platform/vm_list.cpp
+++ b/src/platform/vm_list.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds watch_time{60000};
-constexpr std::chrono::milliseconds pause_after_failure{2000};
 
 } // namespace
 
@@ -26,8 +25,8 @@
     }
 }
 
-vm_list_task::vm_list_task(event_base *base, store_client &store, changed_hook changed)
-    : store_(store), changed_(std::move(changed)), timer_(base, [this] { watch(); })
+vm_list_task::vm_list_task(event_base *base, store_client &store, std::uint64_t seed, changed_hook changed)
+    : store_(store), changed_(std::move(changed)), timer_(base, [this] { watch(); }), pace_(seed)
 {
     watch();
 }
@@ -36,11 +35,12 @@
 {
     store_.watch(vm_list_key, revision_, watch_time, [this](const store_answer &answer) {
         if (answer.outcome == store_outcome::unchanged) {
+            pace_.succeeded();
             timer_.start(std::chrono::milliseconds(0));
             return;
         }
         if (answer.outcome != store_outcome::done) {
-            timer_.start(pause_after_failure);
+            timer_.start(pace_.after_failure());
             return;
         }
         revision_ = answer.revision;
@@ -48,7 +48,8 @@
             changed_(*list);
         else
             support::log_warning("vm_list_unreadable");
-        timer_.start(std::chrono::milliseconds(0));
+        pace_.succeeded();
+        timer_.start(pace_.after_shared_change());
     });
 }
 
--- a/src/platform/vm_list.h
+++ b/src/platform/vm_list.h
@@ -4,6 +4,7 @@
 
 #include "inner/timer.h"
 #include "platform/store_client.h"
+#include "routing/store_pace.h"
 
 #include <functional>
 #include <optional>
@@ -34,7 +35,7 @@
 public:
     using changed_hook = std::function<void(const vm_list &)>;
 
-    vm_list_task(event_base *base, store_client &store, changed_hook changed);
+    vm_list_task(event_base *base, store_client &store, std::uint64_t seed, changed_hook changed);
 
 private:
     void watch();
@@ -42,6 +43,7 @@
     store_client &store_;
     changed_hook changed_;
     inner::timer timer_;
+    routing::store_pace pace_;
     std::uint64_t revision_ = 0;
 };
 
--- a/src/pooler/document_task.cpp
+++ b/src/pooler/document_task.cpp
@@ -3,24 +3,20 @@
 #include "document/document_envelope.h"
 #include "support/json_log.h"
 
-#include <algorithm>
-
 namespace baobabport::pooler {
 
 namespace {
 
 constexpr std::chrono::milliseconds watch_time{30000};
 constexpr std::chrono::milliseconds first_read_timeout{300};
-constexpr std::chrono::milliseconds min_pause{200};
-constexpr std::chrono::milliseconds max_pause{5000};
 constexpr std::chrono::milliseconds no_key_pause{1000};
 
 } // namespace
 
 document_task::document_task(event_base *base, platform::store_client &store, std::string database,
-                             hooks with)
+                             std::uint64_t seed, hooks with)
     : store_(store), database_(std::move(database)), hooks_(std::move(with)),
-      timer_(base, [this] { watch(); })
+      timer_(base, [this] { watch(); }), pace_(seed)
 {
 }
 
@@ -32,14 +28,26 @@
     watch();
 }
 
+void document_task::stop()
+{
+    started_ = false;
+    ++watch_number_;
+    timer_.stop();
+}
+
 void document_task::watch()
 {
+    const auto number = ++watch_number_;
+    const auto take_if_current = [this, number](const platform::store_answer &answer) {
+        if (number == watch_number_)
+            take(answer);
+    };
     const auto key = document::document_key(database_);
     if (holder_.revision() == 0) {
-        store_.read(key, first_read_timeout, [this](const auto &answer) { take(answer); });
+        store_.read(key, first_read_timeout, take_if_current);
         return;
     }
-    store_.watch(key, holder_.revision(), watch_time, [this](const auto &answer) { take(answer); });
+    store_.watch(key, holder_.revision(), watch_time, take_if_current);
 }
 
 void document_task::take(const platform::store_answer &answer)
@@ -48,7 +56,7 @@
     if (answer.outcome == store_outcome::done)
         offer(answer.revision, answer.value);
     if (answer.outcome == store_outcome::done || answer.outcome == store_outcome::unchanged) {
-        failures_ = 0;
+        pace_.succeeded();
         // A document that cannot be read is in force nowhere; it is looked at again, not at once.
         const bool read = holder_.revision() >= answer.revision;
         timer_.start(read ? std::chrono::milliseconds(0) : no_key_pause);
@@ -60,9 +68,7 @@
         timer_.start(no_key_pause);
         return;
     }
-    const auto pause = min_pause * (1U << std::min<std::uint32_t>(failures_, 6));
-    ++failures_;
-    timer_.start(std::min(pause, max_pause));
+    timer_.start(pace_.after_failure());
 }
 
 void document_task::offer(std::uint64_t revision, const std::string &value)
--- a/src/pooler/document_task.h
+++ b/src/pooler/document_task.h
@@ -5,6 +5,7 @@
 #include "document/document_holder.h"
 #include "inner/timer.h"
 #include "platform/store_client.h"
+#include "routing/store_pace.h"
 
 #include <functional>
 #include <string>
@@ -23,11 +24,15 @@
         std::function<void()> ask_peers; ///< the store gives no answer and there is no document yet
     };
 
-    document_task(event_base *base, platform::store_client &store, std::string database, hooks with);
+    document_task(event_base *base, platform::store_client &store, std::string database, std::uint64_t seed,
+                  hooks with);
 
     /// Begins to watch; done again, it does nothing.
     void start();
 
+    /// Ends the watch; the document stays, to begin with next time.
+    void stop();
+
     /// Takes in a peer's document.
     void offer(std::uint64_t revision, const std::string &value);
 
@@ -42,8 +47,9 @@
     hooks hooks_;
     document::document_holder holder_;
     inner::timer timer_;
-    std::uint32_t failures_ = 0;
+    routing::store_pace pace_;
     bool started_ = false;
+    std::uint64_t watch_number_ = 0; ///< answers to earlier watches are passed over
 };
 
 } // namespace baobabport::pooler
--- a/src/pooler/home_task.cpp
+++ b/src/pooler/home_task.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds tick_interval{5};
+constexpr std::chrono::milliseconds idle_interval{100};
 constexpr std::chrono::milliseconds open_timeout{1000};
 
 home::home_settings home_settings_for(const settings::process_settings &settings,
@@ -40,7 +41,7 @@
       home_(home_settings_for(settings, place), make_hooks(), std::move(document), steady_clock::now()),
       timer_(base, [this] { tick(); })
 {
-    timer_.repeat(tick_interval);
+    set_pace();
 }
 
 home::home_hooks home_task::make_hooks()
@@ -58,7 +59,11 @@
 
 void home_task::submit(home::request_key key, const inner::statement_request &request)
 {
-    home_.submit(key, request, steady_clock::now());
+    const auto now = steady_clock::now();
+    home_.submit(key, request, now);
+    if (pace_ == idle_interval)
+        home_.tick(now); // questions and connections that the request needs
+    set_pace();
 }
 
 void home_task::take(const inner::view_answer &answer)
@@ -69,6 +74,16 @@
 void home_task::tick()
 {
     home_.tick(steady_clock::now());
+    set_pace();
+}
+
+void home_task::set_pace()
+{
+    const auto wanted = home_.is_idle() ? idle_interval : tick_interval;
+    if (wanted == pace_)
+        return;
+    pace_ = wanted;
+    timer_.repeat(pace_);
 }
 
 std::unique_ptr<http::http_client> home_task::make_client(home::instance_id instance) const
--- a/src/pooler/home_task.h
+++ b/src/pooler/home_task.h
@@ -62,6 +62,7 @@
     void close_connection(home::connection_id id);
     void send_command(const home::instance_command &command);
     void tick();
+    void set_pace();
     [[nodiscard]] std::unique_ptr<http::http_client> make_client(home::instance_id instance) const;
     [[nodiscard]] http::client_request named(http::client_request request) const;
 
@@ -73,6 +74,7 @@
     std::map<home::connection_id, std::unique_ptr<http::http_client>> connections_;
     home::database_home home_;
     inner::timer timer_;
+    std::chrono::milliseconds pace_{0};
     std::uint64_t status_commands_ = 0; ///< control: probes, fences and promotions
     std::uint64_t wait_commands_ = 0;   ///< statement work: waits for a write's position
     std::uint64_t statements_ = 0;
--- a/src/pooler/pooler_task.cpp
+++ b/src/pooler/pooler_task.cpp
@@ -26,6 +26,9 @@
 constexpr std::chrono::milliseconds default_deadline{2000};
 constexpr int listen_backlog = 1024;
 
+/// A home without requests for this long ends. Longer than a team's pause between two requests.
+constexpr std::chrono::seconds home_kept{60};
+
 } // namespace
 
 pooler_task::pooler_task(event_base *base, settings::process_settings settings, stopped_hook stopped)
@@ -43,13 +46,15 @@
         document_task::hooks hooks;
         hooks.changed = [this, name] { document_changed(name); };
         hooks.ask_peers = [this, name] { ask_peers_for_document(name); };
-        state.document = std::make_unique<document_task>(base, store_, name, std::move(hooks));
+        state.document = std::make_unique<document_task>(
+            base, store_, name, seed_of(settings_) ^ std::hash<std::string>{}(name), std::move(hooks));
     }
-    vm_list_task_ = std::make_unique<platform::vm_list_task>(base, store_, [this](const auto &list) {
-        vm_list_ = list;
-        for (auto &[name, state] : databases_)
-            apply_vm_list(state);
-    });
+    vm_list_task_ =
+        std::make_unique<platform::vm_list_task>(base, store_, seed_of(settings_), [this](const auto &list) {
+            vm_list_ = list;
+            for (auto &[name, state] : databases_)
+                apply_vm_list(state);
+        });
     http::operator_server::hooks hooks;
     hooks.healthy = [this] { return !draining_; };
     hooks.state = [this] { return dump(); };
@@ -156,6 +161,11 @@
         return;
     }
     state.document->start();
+    if (state.document->holder().current()) {
+        begin_home(state);
+        state.home->submit(key, request);
+        return;
+    }
     state.waiting.push_back({key, request, now});
 }
 
@@ -353,6 +363,12 @@
         if (state.home)
             state.home->decisions().set_shed(
                 document::shed_classes(state.home->decisions().document(), unix_now));
+        if (state.home && state.home->decisions().is_released(now, home_kept)) {
+            // Another pooler is the home by now; what was learned here is not needed there.
+            state.home.reset();
+            state.document->stop();
+            support::log_event("home_ended", {{"database", name}});
+        }
         std::vector<home::request_key> late;
         std::erase_if(state.waiting, [&](const auto &it) {
             const auto left = it.request.time_left.count() > 0 ? it.request.time_left : default_deadline;
--- /dev/null
+++ b/src/routing/store_pace.h
@@ -0,0 +1,39 @@
+// How soon a process calls the platform's store again, so that a fleet does not call it all at once.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <random>
+
+namespace baobabport::routing {
+
+/**
+ * Paces one watch of one process.
+ *
+ * After a failure the pause doubles from 500 ms to 10 s; after a change that woke every watcher of the key,
+ * the next call comes within 3 s. Both are drawn at random, so that the callers spread.
+ */
+class store_pace
+{
+public:
+    explicit store_pace(std::uint64_t seed) : random_(seed) {}
+
+    /// Returns the pause after a call without an answer.
+    [[nodiscard]] std::chrono::milliseconds after_failure();
+
+    /// Returns the pause after a change of a key that the whole fleet watches.
+    [[nodiscard]] std::chrono::milliseconds after_shared_change();
+
+    void succeeded() { failures_ = 0; }
+
+    static constexpr std::chrono::milliseconds first_pause{500};
+    static constexpr std::chrono::milliseconds longest_pause{10000};
+    static constexpr std::chrono::milliseconds shared_change_spread{3000};
+
+private:
+    std::mt19937_64 random_;
+    std::uint32_t failures_ = 0;
+};
+
+} // namespace baobabport::routing
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -86,4 +87,12 @@
     std::chrono::milliseconds stop_within{20000}; ///< a planned stop waits this long for what is in progress
 };
 
+/**
+ * Returns a seed for the process's random choices, another one for each process.
+ */
+[[nodiscard]] inline std::uint64_t seed_of(const process_settings &settings)
+{
+    return std::hash<std::string>{}(settings.process);
+}
+
 } // namespace baobabport::settings
--- a/standins/standin_group.cpp
+++ b/standins/standin_group.cpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <utility>
 
 namespace {
 
@@ -139,10 +140,14 @@
 
     void silence(const std::string &process, bool on)
     {
-        if (on)
+        if (on) {
             silenced_.insert(process);
-        else
-            silenced_.erase(process);
+            return;
+        }
+        silenced_.erase(process);
+        // What was asked in the silence is answered late; callers that have gone are noticed by it.
+        for (const auto &it : std::exchange(lost_, {}))
+            it->send({503, R"({"error":"was silent"})", {}});
     }
 
     void lose_answers(int n) { lose_answers_ = n; }
--- a/tests/document/test_document_change.cpp
+++ b/tests/document/test_document_change.cpp
@@ -34,7 +34,13 @@
 }
 
 /// What happens to one call on the store.
-enum class store_fault { none, no_answer, lost_answer, raced };
+enum class store_fault
+{
+    none,
+    no_answer,
+    lost_answer,
+    raced
+};
 
 /// A store whose nth call goes wrong.
 struct faulty_store
@@ -66,7 +72,8 @@
             put_directly(raced_text, "other");
         if (strikes(store_fault::no_answer))
             return std::nullopt;
-        const auto revision = model.compare_and_swap("documents/db", expected, value, std::nullopt, time_point{});
+        const auto revision =
+            model.compare_and_swap("documents/db", expected, value, std::nullopt, time_point{});
         if (strikes(store_fault::lost_answer))
             return std::nullopt;
         return revision.value_or(0);
@@ -96,7 +103,13 @@
     }
 };
 
-enum class told { accepted, refused, not_accepted, unclear };
+enum class told
+{
+    accepted,
+    refused,
+    not_accepted,
+    unclear
+};
 
 /// The command line's apply, over the faulty store.
 told apply(faulty_store &store, const std::string &text)
@@ -109,7 +122,8 @@
     bool wrote = false;
     for (int n = 0; n < 5; ++n) {
         const auto decision = change.decide(present);
-        if (decision.outcome == change_outcome::already_there || decision.outcome == change_outcome::nothing_to_do)
+        if (decision.outcome == change_outcome::already_there ||
+            decision.outcome == change_outcome::nothing_to_do)
             return told::accepted;
         if (decision.outcome != change_outcome::write)
             return told::refused;
@@ -134,8 +148,8 @@
 TEST_CASE("each fault at each store call of an apply: told accepted means there, once")
 {
     std::size_t cells = 0;
-    for (const auto fault : {store_fault::none, store_fault::no_answer, store_fault::lost_answer,
-                             store_fault::raced}) {
+    for (const auto fault :
+         {store_fault::none, store_fault::no_answer, store_fault::lost_answer, store_fault::raced}) {
         for (const auto &raced_text : {theirs_elsewhere, theirs_same_line}) {
             for (int call = 1; call <= 4; ++call) {
                 faulty_store store;
@@ -169,10 +183,11 @@
 TEST_CASE("a merged text that breaks a promise is refused")
 {
     faulty_store store;
-    store.put_directly(with(base_text, "\"deadline_ms\": 3000", "\"deadline_ms\": 3000, \"staleness_ms\": 500"),
-                       "first");
+    store.put_directly(
+        with(base_text, "\"deadline_ms\": 3000", "\"deadline_ms\": 3000, \"staleness_ms\": 500"), "first");
     const auto seen = *store.read();
-    const auto shares = with(seen.envelope.text, "\"deadline_ms\": 1000}", "\"deadline_ms\": 1000, \"shareable\": true}");
+    const auto shares =
+        with(seen.envelope.text, "\"deadline_ms\": 1000}", "\"deadline_ms\": 1000, \"shareable\": true}");
     const document_change change("db", seen, shares, {"mine", "me", "", 0});
     store.put_directly(with(seen.envelope.text, "\"database\": \"db\"", "\"database\": \"other\""), "other");
     const auto decision = change.decide(*store.read());
@@ -212,9 +227,11 @@
         CHECK_FALSE(document);
         CHECK(reader.last_reason().find(reason) != std::string::npos);
     };
-    refused("\"deadline_ms\": 2000", "\"deadline_ms\": 2000, \"retries\": 1", "line 4: classes.booking.retries");
+    refused("\"deadline_ms\": 2000", "\"deadline_ms\": 2000, \"retries\": 1",
+            "line 4: classes.booking.retries");
     refused("\"deadline_ms\": 2000", "\"deadline_ms\": 2000, \"staleness_ms\": 1", "read-your-writes");
-    refused("\"deadline_ms\": 2000", "\"deadline_ms\": 2000, \"shareable\": true", "classes.booking.shareable");
+    refused("\"deadline_ms\": 2000", "\"deadline_ms\": 2000, \"shareable\": true",
+            "classes.booking.shareable");
     refused("\"deadline_ms\": 2000", "\"deadline_ms\": -1", "a whole number from 10");
     refused("\"deadline_ms\": 2000", "\"deadlin_ms\": 2000", "nothing, allowed: a whole number");
     refused("\"deadline_ms\": 2000", "\"deadline_ms\": 2000, \"x\": 1", "an unknown field");
--- a/tests/home/test_database_home.cpp
+++ b/tests/home/test_database_home.cpp
@@ -83,9 +83,8 @@
     int ran = 0;
     const auto before = site.home(0).counters().reads_by_replica;
     for (int n = 0; n < 50; ++n)
-        site.submit(0, make_request("sheet", "select"), [&](const auto &answer) {
-            ran += answer.outcome == verdict::ran ? 1 : 0;
-        });
+        site.submit(0, make_request("sheet", "select"),
+                    [&](const auto &answer) { ran += answer.outcome == verdict::ran ? 1 : 0; });
     site.run_for(milliseconds(300));
     CHECK(ran == 50);
     CHECK(site.home(0).counters().reads_by_replica - before <= 2);
--- a/tests/inner/test_stream_connection.cpp
+++ b/tests/inner/test_stream_connection.cpp
@@ -86,7 +86,8 @@
         ends.client->send(message_kind::statement, it, milliseconds(20000),
                           [&](const auto &outcome) { answers.push_back(outcome.body); });
     ends.run_until([&] { return answers.size() == 3; });
-    std::sort(answers.begin(), answers.end(), [](const auto &a, const auto &b) { return a.size() < b.size(); });
+    std::sort(answers.begin(), answers.end(),
+              [](const auto &a, const auto &b) { return a.size() < b.size(); });
     CHECK(answers[0] == "answer to one");
     CHECK(answers[2] == "answer to " + large);
 }
@@ -95,7 +96,8 @@
 {
     pair_of_ends ends({"another key of length", {}}, key);
     std::optional<stream_outcome> outcome;
-    ends.client->send(message_kind::statement, "x", milliseconds(20000), [&](const auto &it) { outcome = it; });
+    ends.client->send(message_kind::statement, "x", milliseconds(20000),
+                      [&](const auto &it) { outcome = it; });
     ends.run_until([&] { return outcome && !ends.client_closed.empty(); });
     CHECK_FALSE(outcome->answered);
     CHECK_FALSE(outcome->may_have_arrived);
@@ -107,13 +109,15 @@
 {
     pair_of_ends ends(key, {"a new key of some length", key.key});
     std::optional<stream_outcome> outcome;
-    ends.client->send(message_kind::statement, "x", milliseconds(20000), [&](const auto &it) { outcome = it; });
+    ends.client->send(message_kind::statement, "x", milliseconds(20000),
+                      [&](const auto &it) { outcome = it; });
     ends.run_until([&] { return outcome || !ends.client_closed.empty(); });
     // The old process does not know the new key: the handbook has both know it first.
     CHECK(ends.client_closed == "wrong_key");
     pair_of_ends both({key.key, "a new key of some length"}, {"a new key of some length", key.key});
     std::optional<stream_outcome> answered;
-    both.client->send(message_kind::statement, "x", milliseconds(20000), [&](const auto &it) { answered = it; });
+    both.client->send(message_kind::statement, "x", milliseconds(20000),
+                      [&](const auto &it) { answered = it; });
     both.run_until([&] { return answered.has_value(); });
     CHECK(answered->answered);
 }
@@ -123,7 +127,8 @@
     pair_of_ends ends(key, key);
     ends.answers = false;
     std::optional<stream_outcome> outcome;
-    ends.client->send(message_kind::statement, "x", milliseconds(20000), [&](const auto &it) { outcome = it; });
+    ends.client->send(message_kind::statement, "x", milliseconds(20000),
+                      [&](const auto &it) { outcome = it; });
     ends.run_until([&] { return !ends.received.empty(); });
     ends.server.reset();
     ends.run_until([&] { return outcome.has_value(); });
--- a/tests/routing/test_routing.cpp
+++ b/tests/routing/test_routing.cpp
@@ -2,6 +2,7 @@
 
 #include "routing/forward_decision.h"
 #include "routing/home_selector.h"
+#include "routing/store_pace.h"
 
 #include <catch2/catch.hpp>
 #include <map>
@@ -107,3 +108,22 @@
     state.tries = 3;
     CHECK(decide_after(try_end::not_reached, state).outcome == verdict::not_run);
 }
+
+TEST_CASE("a fleet that comes back to the store spreads over its pace")
+{
+    constexpr int processes = 3200;
+    constexpr int outage_calls = 8;
+    std::map<std::int64_t, int> calls_per_second;
+    for (int n = 0; n < processes; ++n) {
+        store_pace pace(n);
+        auto at = milliseconds(0);
+        for (int call = 0; call < outage_calls; ++call)
+            at += pace.after_failure();
+        ++calls_per_second[at.count() / 1000];
+    }
+    for (const auto &[second, n] : calls_per_second)
+        CHECK(n < 2000); // what the platform's service takes
+    store_pace pace(1);
+    for (int call = 0; call < 20; ++call)
+        CHECK(pace.after_failure() <= store_pace::longest_pause);
+}
--- a/tests/settings/test_settings_reader.cpp
+++ b/tests/settings/test_settings_reader.cpp
@@ -54,7 +54,8 @@
     refused("\"process\"", "\"proces\"", "process: found nothing");
     refused("127.0.0.1:7000", "localhost:7000", "line 4: callers: found \"localhost:7000\"");
     refused("127.0.0.1:7000", "127.0.0.1:99999", "IP:PORT");
-    refused("\"vm_number\": 1", "\"vm_number\": 0", "poolers[0].vm_number: found 0, allowed: a whole number from 1");
+    refused("\"vm_number\": 1", "\"vm_number\": 0",
+            "poolers[0].vm_number: found 0, allowed: a whole number from 1");
     refused("\"vm_number\": 1", "\"vm_number\": \"1\"", "found \"1\"");
     refused("\"data_centre\": \"erie-shore\",\n", "\"data_centre\": 3,\n", "data_centre: found 3");
     refused("\"inner\": \"0123456789abcdef\"", "\"inner\": \"short\"", "at least 16 bytes");
@@ -86,7 +87,8 @@
     auto get = post(path, "{}");
     get.method = http::method_kind::get;
     refused_as(get, "wrong_method");
-    const auto request = reader.read(post("/v1/databases/db/transactions/t1/commit", R"({"class":"a","request_id":"r","caller":"c"})"));
+    const auto request = reader.read(
+        post("/v1/databases/db/transactions/t1/commit", R"({"class":"a","request_id":"r","caller":"c"})"));
     REQUIRE(request);
     CHECK(request->step == inner::transaction_step::commit);
     CHECK(request->transaction == "t1");
--- a/tests/support/scenario_runner.cpp
+++ b/tests/support/scenario_runner.cpp
@@ -20,12 +20,21 @@
     return out;
 }
 
-std::size_t number(const std::string &word) { return static_cast<std::size_t>(std::stoul(word)); }
+std::size_t number(const std::string &word)
+{
+    return static_cast<std::size_t>(std::stoul(word));
+}
 
 /// Instances and homes are counted from 1 in scenarios.
-std::size_t index(const std::string &word) { return number(word) - 1; }
+std::size_t index(const std::string &word)
+{
+    return number(word) - 1;
+}
 
-instance_id instance(const std::string &word) { return static_cast<instance_id>(index(word)); }
+instance_id instance(const std::string &word)
+{
+    return static_cast<instance_id>(index(word));
+}
 
 std::string value_in(const std::string &rows)
 {
@@ -81,7 +90,8 @@
         out = answer;
         answered = true;
     });
-    for (milliseconds waited{0}; !answered && waited < deadline + milliseconds(250); waited += milliseconds(5))
+    for (milliseconds waited{0}; !answered && waited < deadline + milliseconds(250);
+         waited += milliseconds(5))
         site_->run_for(milliseconds(5));
     if (!answered)
         site_->run_for(milliseconds(0));
