--- a/src/ctl/fleet_report.cpp
+++ b/src/ctl/fleet_report.cpp
@@ -1,6 +1,7 @@
 #include "ctl/fleet_report.h"
 
 #include <algorithm>
+#include <initializer_list>
 #include <nlohmann/json.hpp>
 
 namespace baobabport::ctl {
@@ -9,6 +10,14 @@
 
 namespace {
 
+void add_problem(json &problems, std::initializer_list<std::string> parts)
+{
+    std::string text;
+    for (const auto &it : parts)
+        text += it;
+    problems.push_back(text);
+}
+
 void add_revisions(const json &state, json &databases)
 {
     const auto name = state.value("process", "?");
@@ -46,8 +55,8 @@
         problems.push_back(database + ": no primary known at " + process + "; see failover.md");
     for (const auto &it : home.at("instances")) {
         if (!it.value("healthy", true))
-            problems.push_back(database + ": instance " + it.value("name", "") + " does not answer " +
-                               process);
+            add_problem(problems,
+                        {database, ": instance ", it.value("name", ""), " does not answer ", process});
     }
 }
 
@@ -60,8 +69,8 @@
             highest = std::max(highest, revision.get<std::uint64_t>());
         for (const auto &[process, revision] : revisions.items()) {
             if (revision.get<std::uint64_t>() < highest)
-                problems.push_back(database + ": " + process + " has revision " + revision.dump() + " of " +
-                                   std::to_string(highest));
+                add_problem(problems, {database, ": ", process, " has revision ", revision.dump(), " of ",
+                                       std::to_string(highest)});
         }
     }
 }
--- a/src/routing/home_selector.cpp
+++ b/src/routing/home_selector.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Ranks remembered per database; the list of a whole fleet would be its size times the databases'.
+constexpr std::size_t kept_ranks = 16;
+
 constexpr std::chrono::milliseconds first_avoidance{200};
 constexpr std::uint32_t max_doublings = 5;
 constexpr std::chrono::seconds trust_after{2};
@@ -66,8 +69,11 @@
                                                  const std::vector<std::string> &tried, time_point now)
 {
     auto [ranking, is_new] = rankings_.try_emplace(database.name);
-    if (is_new)
+    if (is_new) {
         ranking->second = rank_homes(database, candidates_);
+        ranking->second.resize(std::min(ranking->second.size(), kept_ranks));
+        ranking->second.shrink_to_fit();
+    }
     std::optional<home_choice> fallback;
     time_point fallback_time = time_point::max();
     for (std::uint32_t rank = 0; rank < ranking->second.size(); ++rank) {
--- a/src/routing/home_selector.h
+++ b/src/routing/home_selector.h
@@ -71,7 +71,8 @@
 
     std::vector<candidate> candidates_;
     std::map<std::string, evidence> evidence_;
-    std::map<std::string, std::vector<std::size_t>> rankings_; ///< by database; the candidates never change
+    /// By database, the first ranks only; the candidates never change.
+    std::map<std::string, std::vector<std::size_t>> rankings_;
     std::vector<pass> passes_;
     std::mt19937_64 random_;
 };
--- a/tests/inner/test_stream_connection.cpp
+++ b/tests/inner/test_stream_connection.cpp
@@ -27,8 +27,8 @@
         sockaddr_in at{};
         at.sin_family = AF_INET;
         at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        ::bind(listener, reinterpret_cast<sockaddr *>(&at), sizeof(at));
-        ::listen(listener, 1);
+        REQUIRE(::bind(listener, reinterpret_cast<sockaddr *>(&at), sizeof(at)) == 0);
+        REQUIRE(::listen(listener, 1) == 0);
         socklen_t length = sizeof(at);
         ::getsockname(listener, reinterpret_cast<sockaddr *>(&at), &length);
         stream_connection::hooks client_hooks;
--- a/tests/routing/test_routing.cpp
+++ b/tests/routing/test_routing.cpp
@@ -18,6 +18,7 @@
 std::vector<candidate> make_candidates(int n)
 {
     std::vector<candidate> out;
+    out.reserve(n);
     for (int it = 0; it < n; ++it)
         out.push_back({"pooler-" + std::to_string(it), "dc-" + std::to_string(it % 3)});
     return out;
--- a/tests/support/fault_matrix.cpp
+++ b/tests/support/fault_matrix.cpp
@@ -47,7 +47,6 @@
 void for_next_primary(fake_site &site, instance_id old, const std::function<void(instance_id)> &then)
 {
     constexpr milliseconds poll{10};
-    constexpr milliseconds a_few_writes{120};
     site.after(poll, [&site, old, then] {
         if (site.healed())
             return;
@@ -56,6 +55,7 @@
             for_next_primary(site, old, then);
             return;
         }
+        constexpr milliseconds a_few_writes{120};
         site.after(a_few_writes, [&site, next, then] {
             if (!site.healed())
                 then(next);
--- a/tests/support/workload.cpp
+++ b/tests/support/workload.cpp
@@ -61,7 +61,7 @@
     return out;
 }
 
-void workload::send(std::size_t n, statement_request request, std::size_t home, done_hook done)
+void workload::send(std::size_t n, const statement_request &request, std::size_t home, const done_hook &done)
 {
     const auto call = next_call_++;
     sessions_[n].call = call;
--- a/tests/support/workload.h
+++ b/tests/support/workload.h
@@ -74,7 +74,8 @@
 
     using done_hook = std::function<void(const inner::statement_answer &)>;
 
-    void send(std::size_t n, inner::statement_request request, std::size_t home, done_hook done);
+    void send(std::size_t n, const inner::statement_request &request, std::size_t home,
+              const done_hook &done);
     void write(std::size_t n);
     void try_write(std::size_t n, const std::string &id, int number, int tries);
     void run_transaction(std::size_t n);
