--- a/src/entry/entry_task.cpp
+++ b/src/entry/entry_task.cpp
@@ -27,6 +27,9 @@
 constexpr std::chrono::milliseconds linger{200};
 constexpr std::size_t session_id_bytes = 12;
 
+/// A body over the limit is read this much further, so that its caller gets an answer.
+constexpr std::size_t long_body_read = 1024UL * 1024;
+
 std::vector<routing::candidate> candidates_of(const settings::process_settings &settings)
 {
     std::vector<routing::candidate> out;
@@ -78,7 +81,7 @@
     operators_ = std::make_unique<http::operator_server>(base, settings_.operators, settings_.keys.operators,
                                                          settings_.keys.former_operators, std::move(hooks));
     callers_ = std::make_unique<http::http_server>(
-        base, *settings_.callers, settings_.limits.body_bytes,
+        base, *settings_.callers, settings_.limits.body_bytes + long_body_read,
         [this](const auto &request, const auto &answer) { handle(request, answer); });
     support::log_event("started", {{"callers", settings_.callers->text()}});
 }
@@ -95,6 +98,11 @@
         answer->send({draining_ ? 503 : 200, "{}", {}});
         return;
     }
+    if (request.body.size() > settings_.limits.body_bytes) {
+        refuse(413, "body_too_long", "allowed: " + std::to_string(settings_.limits.body_bytes) + " bytes",
+               *answer);
+        return;
+    }
     const auto parsed = reader_.read(request);
     if (!parsed) {
         const auto &why = reader_.last_refusal();
