--- a/src/programs/pooler_main.cpp
+++ b/src/programs/pooler_main.cpp
@@ -2,11 +2,6 @@
 
 #include "pooler/pooler_task.h"
 #include "programs/program_main.h"
-#include "support/json_log.h"
-
-#include <docopt/docopt.h>
-#include <event2/event.h>
-#include <iostream>
 
 namespace {
 
@@ -30,22 +25,7 @@
 int main(int argc, char **argv)
 {
     using namespace baobabport;
-    auto args = docopt::docopt(usage, {argv + 1, argv + argc}, true, "baobabport-pooler " BAOBABPORT_VERSION);
-    auto settings = programs::load_settings(settings::program_kind::pooler, args["--settings"].asString());
-    if (!settings)
-        return programs::exit_bad_usage;
-    if (args["--check"].asBool()) {
-        std::cout << "settings are right\n";
-        return 0;
-    }
-    support::start_json_log(settings->process);
-    auto *const base = event_base_new();
-    try {
-        pooler::pooler_task task(base, std::move(*settings), [base] { event_base_loopbreak(base); });
-        programs::run_until_stopped(base, [&task] { task.drain(); });
-    } catch (const std::runtime_error &ec) {
-        support::log_warning("cannot_start", {{"reason", ec.what()}});
-        return 1;
-    }
-    return 0;
+    const programs::program_text text{settings::program_kind::pooler, usage,
+                                      "baobabport-pooler " BAOBABPORT_VERSION};
+    return programs::run_program<pooler::pooler_task>(text, argc, argv);
 }
