--- /dev/null
+++ b/src/directory/instance_directory.cpp
@@ -0,0 +1,64 @@
+#include "directory/instance_directory.h"
+
+#include <set>
+
+namespace baobabport::directory {
+
+directory_change instance_directory::take(std::vector<instance_record> records, time_point now)
+{
+    directory_change out;
+    if (listed() && now - last_listing_ > outage_after)
+        returned_at_ = now;
+    last_listing_ = now;
+
+    std::set<std::string> present;
+    for (auto &it : records) {
+        present.insert(it.id);
+        const auto known = records_.find(it.id);
+        if (known == records_.end()) {
+            out.joined.push_back(it.id);
+            if (it.state == instance_state::draining)
+                out.draining.push_back(it.id);
+            records_.emplace(it.id, std::move(it));
+            continue;
+        }
+        const bool other_process = known->second.started_at != it.started_at || known->second.at != it.at;
+        if (other_process)
+            out.restarted.push_back(it.id);
+        const bool was_draining = known->second.state == instance_state::draining && !other_process;
+        if (it.state == instance_state::draining && !was_draining)
+            out.draining.push_back(it.id);
+        known->second = std::move(it);
+    }
+
+    const bool missing_is_gone = returned_at_ == time_point{} || now - returned_at_ >= return_grace;
+    if (!missing_is_gone)
+        return out;
+    for (auto it = records_.begin(); it != records_.end();) {
+        if (present.count(it->first)) {
+            ++it;
+            continue;
+        }
+        out.left.push_back(it->first);
+        it = records_.erase(it);
+    }
+    return out;
+}
+
+const instance_record *instance_directory::find(const std::string &id) const
+{
+    const auto it = records_.find(id);
+    return it == records_.end() ? nullptr : &it->second;
+}
+
+std::vector<instance_record> instance_directory::of_service(const std::string &service) const
+{
+    std::vector<instance_record> out;
+    for (const auto &it : records_) {
+        if (it.second.service == service)
+            out.push_back(it.second);
+    }
+    return out;
+}
+
+} // namespace baobabport::directory
--- /dev/null
+++ b/src/directory/instance_directory.h
@@ -0,0 +1,62 @@
+// The instances that exist, from the records they register.
+
+#pragma once
+
+#include "directory/instance_record.h"
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace baobabport::directory {
+
+using time_point = std::chrono::steady_clock::time_point;
+
+/// What one listing of the records changed.
+struct directory_change
+{
+    std::vector<std::string> joined;
+    std::vector<std::string> left;
+    std::vector<std::string> restarted; ///< another process under the same id
+    std::vector<std::string> draining;  ///< began to leave
+    [[nodiscard]] bool empty() const
+    {
+        return joined.empty() && left.empty() && restarted.empty() && draining.empty();
+    }
+};
+
+/**
+ * Keeps the instances and decides when a missing record means that its instance is gone.
+ *
+ * Records may be lost while the store is away; they are back soon after it is. A record that is missing
+ * is therefore ignored until the store has answered for `return_grace`.
+ */
+class instance_directory
+{
+public:
+    /// A record missing this long after the store's return is of an instance that is gone; from the
+    /// store's description (2 s) and one listing interval.
+    static constexpr std::chrono::milliseconds return_grace{2500};
+
+    /// Listings further apart than this count as an outage of the store.
+    static constexpr std::chrono::milliseconds outage_after{4000};
+
+    /// Takes in a complete listing.
+    directory_change take(std::vector<instance_record> records, time_point now);
+
+    [[nodiscard]] const instance_record *find(const std::string &id) const;
+
+    /// Returns the instances of the service, by id.
+    [[nodiscard]] std::vector<instance_record> of_service(const std::string &service) const;
+
+    [[nodiscard]] const std::map<std::string, instance_record> &all() const { return records_; }
+    [[nodiscard]] bool listed() const { return last_listing_ != time_point{}; }
+
+private:
+    std::map<std::string, instance_record> records_;
+    time_point last_listing_;
+    time_point returned_at_; ///< since when the store has answered without an outage
+};
+
+} // namespace baobabport::directory
--- a/src/entry/entry_task.cpp
+++ b/src/entry/entry_task.cpp
@@ -67,7 +67,7 @@
             ranked.data_centres.push_back(it.data_centre);
     }
     vm_list_task_ =
-        std::make_unique<platform::vm_list_task>(base, store_, seed_of(settings_), [this](const auto &list) {
+        std::make_unique<store::vm_list_task>(base, store_, seed_of(settings_), [this](const auto &list) {
             for (const auto &it : settings_.poolers) {
                 const auto &names = list.leaving_vms;
                 selector_.set_leaving(it.name, std::find(names.begin(), names.end(), it.name) != names.end());
--- a/src/entry/entry_task.h
+++ b/src/entry/entry_task.h
@@ -10,8 +10,8 @@
 #include "http/operator_server.h"
 #include "inner/pooler_links.h"
 #include "inner/timer.h"
-#include "platform/store_client.h"
-#include "platform/vm_list.h"
+#include "store/store_client.h"
+#include "store/vm_list.h"
 #include "routing/forward_decision.h"
 #include "routing/home_selector.h"
 #include "settings/process_settings.h"
@@ -89,13 +89,13 @@
     stopped_hook stopped_;
     consistency::token_codec tokens_;
     caller_request_reader reader_;
-    platform::store_client store_;
+    store::store_client store_;
     inner::pooler_links links_;
     routing::home_selector selector_;
     std::map<std::string, database_state> databases_;
     std::map<std::string, std::string> pooler_of_vm_; ///< by VM number as text, for transactions
     support::metrics metrics_;
-    std::unique_ptr<platform::vm_list_task> vm_list_task_;
+    std::unique_ptr<store::vm_list_task> vm_list_task_;
     std::unique_ptr<http::http_server> callers_;
     std::unique_ptr<http::operator_server> operators_;
     inner::timer stop_timer_;
--- /dev/null
+++ b/src/failover/switchover.cpp
@@ -0,0 +1,260 @@
+#include "failover/switchover.h"
+
+#include <algorithm>
+
+namespace baobabport::failover {
+
+using consistency::instance_role;
+
+namespace {
+
+const member_view *find(const group_snapshot &group, const std::string &id)
+{
+    const auto it = std::find_if(group.members.begin(), group.members.end(),
+                                 [&id](const auto &member) { return member.id == id; });
+    return it == group.members.end() ? nullptr : &*it;
+}
+
+bool leads(const member_view &it, std::uint64_t above_term)
+{
+    return it.report && it.report->role == instance_role::primary && it.report->term > above_term;
+}
+
+} // namespace
+
+std::vector<action> switchover::step(const group_snapshot &group, time_point now)
+{
+    switch (phase_) {
+    case phase::idle:
+        return step_idle(group, now);
+    case phase::pausing:
+        return step_pausing(group, now);
+    case phase::promoting:
+        return step_promoting(now);
+    case phase::awaiting_lead:
+        return step_awaiting(group, now);
+    case phase::settling:
+        return step_settling(group, now);
+    }
+    return {};
+}
+
+std::vector<action> switchover::step_idle(const group_snapshot &group, time_point now)
+{
+    if (now < retry_at_)
+        return {};
+    if (!should_replace(group, now))
+        return resume_orphans(group, now);
+    begin(group, now);
+    return step_pausing(group, now);
+}
+
+bool switchover::should_replace(const group_snapshot &group, time_point now)
+{
+    const bool has_replica = std::any_of(group.members.begin(), group.members.end(), [&group](const auto &it) {
+        return group.primary != it.id && it.report && !it.leaving;
+    });
+    const auto *const primary = group.primary ? find(group, *group.primary) : nullptr;
+    if (!has_replica)
+        return false;
+    if (!primary) {
+        if (!leaderless_since_)
+            leaderless_since_ = now;
+        last_reason_ = "no primary is known";
+        return now - *leaderless_since_ >= leaderless_limit;
+    }
+    leaderless_since_.reset();
+    if (primary->leaving) {
+        last_reason_ = "the primary is leaving";
+        return true;
+    }
+    if (primary->refuses && primary->silent_for >= refusal_limit) {
+        last_reason_ = "the primary takes no connections";
+        return true;
+    }
+    last_reason_ = "the primary does not answer";
+    return primary->silent_for >= silence_limit;
+}
+
+void switchover::begin(const group_snapshot &group, time_point now)
+{
+    former_ = group.primary.value_or("");
+    former_term_ = group.term;
+    pause_term_ = group.term + 1;
+    for (const auto &it : group.members) {
+        if (it.report)
+            pause_term_ = std::max({pause_term_, it.report->paused_at + 1, it.report->term + 1});
+    }
+    paused_.clear();
+    rejected_.clear();
+    candidate_.clear();
+    enter(phase::pausing, now);
+}
+
+std::vector<action> switchover::step_pausing(const group_snapshot &group, time_point now)
+{
+    if (enough_paused(group, now)) {
+        candidate_ = furthest();
+        if (candidate_.empty())
+            return give_up("no instance can be promoted", now);
+        enter(phase::promoting, now);
+        return step_promoting(now);
+    }
+    if (now - entered_at_ >= pause_limit)
+        return give_up("a replica could not be paused", now);
+    if (!repeat_due(now))
+        return {};
+    std::vector<action> out;
+    for (const auto &it : group.members) {
+        if (it.id != former_ && !paused_.count(it.id))
+            out.push_back({action_kind::pause, it.id, pause_term_});
+    }
+    return out;
+}
+
+bool switchover::enough_paused(const group_snapshot &group, time_point now) const
+{
+    const auto *const former = find(group, former_);
+    const bool former_is_down = !former || former->refuses;
+    for (const auto &it : group.members) {
+        if (it.id == former_ || paused_.count(it.id))
+            continue;
+        // Nobody can be served through a former primary that takes no connections.
+        const bool dispensable = former_is_down && now - entered_at_ >= pause_limit / 2;
+        if (!dispensable)
+            return false;
+    }
+    return !paused_.empty();
+}
+
+std::string switchover::furthest() const
+{
+    std::string out;
+    consistency::position best;
+    for (const auto &[id, report] : paused_) {
+        const bool rejected = std::find(rejected_.begin(), rejected_.end(), id) != rejected_.end();
+        if (rejected || (!out.empty() && report.received <= best))
+            continue;
+        out = id;
+        best = report.received;
+    }
+    return out;
+}
+
+std::vector<action> switchover::step_promoting(time_point now)
+{
+    if (order_open_)
+        return {};
+    if (now - entered_at_ >= lead_limit)
+        return give_up("the platform took no order", now);
+    if (!repeat_due(now))
+        return {};
+    order_open_ = true;
+    return {{action_kind::promote, candidate_, 0}};
+}
+
+void switchover::paused(const std::string &id, const replication::member_report &report)
+{
+    if (phase_ == phase::pausing && report.paused_at == pause_term_)
+        paused_[id] = report;
+}
+
+void switchover::promoted(promotion_result result, time_point now)
+{
+    order_open_ = false;
+    if (phase_ != phase::promoting)
+        return;
+    if (result == promotion_result::accepted) {
+        enter(phase::awaiting_lead, now);
+    } else if (result == promotion_result::absent) {
+        rejected_.push_back(candidate_);
+        candidate_ = furthest();
+        if (candidate_.empty())
+            enter(phase::pausing, now); // gives up there unless another replica answers
+    }
+}
+
+std::vector<action> switchover::step_awaiting(const group_snapshot &group, time_point now)
+{
+    const auto *const candidate = find(group, candidate_);
+    if (candidate && leads(*candidate, former_term_)) {
+        enter(phase::settling, now);
+        return step_settling(group, now);
+    }
+    if (now - entered_at_ >= lead_limit)
+        return give_up("the promoted instance does not lead", now);
+    if (!repeat_due(now))
+        return {};
+    return {{action_kind::probe, candidate_, 0}};
+}
+
+std::vector<action> switchover::step_settling(const group_snapshot &group, time_point now)
+{
+    const auto *const former = find(group, former_);
+    const bool yielded = !former || former->refuses || !former->report ||
+                         former->report->role == instance_role::replica ||
+                         now - entered_at_ >= yield_time;
+    bool resumed = true;
+    std::vector<action> out;
+    if (!repeat_due(now))
+        return out;
+    if (former && (!former->report || former->report->role == instance_role::primary) && !former->refuses)
+        out.push_back({action_kind::step_down, former_, group.term});
+    for (const auto &it : group.members) {
+        if (it.id == candidate_ || !it.report || it.report->paused_at == 0)
+            continue;
+        resumed = false;
+        if (yielded)
+            out.push_back({action_kind::resume, it.id, 0});
+    }
+    const bool over = now - entered_at_ >= lead_limit;
+    if ((yielded && resumed) || over)
+        enter(phase::idle, now);
+    return out;
+}
+
+std::vector<action> switchover::resume_orphans(const group_snapshot &group, time_point now)
+{
+    std::vector<action> out;
+    for (const auto &it : group.members) {
+        const bool is_paused = it.report && it.report->paused_at > 0 && group.primary != it.id;
+        if (!is_paused || !group.primary) {
+            paused_since_.erase(it.id);
+            continue;
+        }
+        const auto since = paused_since_.emplace(it.id, now).first->second;
+        if (now - since >= orphan_limit && repeat_due(now))
+            out.push_back({action_kind::resume, it.id, 0});
+    }
+    return out;
+}
+
+std::vector<action> switchover::give_up(std::string_view reason, time_point now)
+{
+    last_reason_ = reason;
+    std::vector<action> out;
+    for (const auto &it : paused_)
+        out.push_back({action_kind::resume, it.first, 0});
+    enter(phase::idle, now);
+    retry_at_ = now + retry_delay;
+    return out;
+}
+
+void switchover::enter(phase next, time_point now)
+{
+    phase_ = next;
+    entered_at_ = now;
+    repeated_at_ = {};
+    order_open_ = false;
+    leaderless_since_.reset();
+}
+
+bool switchover::repeat_due(time_point now)
+{
+    if (repeated_at_ != time_point{} && now - repeated_at_ < repeat_interval)
+        return false;
+    repeated_at_ = now;
+    return true;
+}
+
+} // namespace baobabport::failover
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -18,6 +18,8 @@
         return EVHTTP_REQ_POST;
     case method_kind::put:
         return EVHTTP_REQ_PUT;
+    case method_kind::remove:
+        return EVHTTP_REQ_DELETE;
     default:
         return EVHTTP_REQ_GET;
     }
--- a/src/http/http_types.h
+++ b/src/http/http_types.h
@@ -14,6 +14,7 @@
     get,
     post,
     put,
+    remove,
     other
 };
 
--- /dev/null
+++ b/src/platform/line_codec.h
@@ -0,0 +1,74 @@
+// The line protocol that callers and instances speak, read into and written from typed messages.
+
+#pragma once
+
+#include "replication/member_report.h"
+#include "session/messages.h"
+#include "session/session_context.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace baobabport::platform {
+
+/// A message longer than this ends the connection; from the protocol's description.
+inline constexpr std::size_t max_message = 1024 * 1024;
+
+/// The id of statements that the proxy sends for itself.
+inline constexpr const char *own_statement_id = "-";
+
+/**
+ * Cuts a stream of bytes into lines.
+ */
+class line_reader
+{
+public:
+    void append(std::string_view bytes);
+
+    /// Returns the next whole line without its end, or none.
+    std::optional<std::string> next();
+
+    /// Returns true if the line in progress is longer than a message may be.
+    [[nodiscard]] bool overflowed() const { return buf_.size() - begin_ > max_message; }
+
+private:
+    std::string buf_;
+    std::size_t begin_ = 0; ///< of what has not been returned
+    std::size_t scanned_ = 0;
+};
+
+[[nodiscard]] session::caller_message read_caller_line(std::string_view line);
+[[nodiscard]] session::instance_message read_instance_line(std::string_view line);
+
+/// Appends an answer's parts for a caller.
+void write_row(std::string_view data, std::string &out);
+void write_success(std::string_view receipt, std::string &out);
+void write_failure(session::answer_code code, std::string_view text, std::string &out);
+void write_prompt(session::transaction_state state, std::string &out);
+
+/// Appends messages for an instance.
+void write_open(const std::string &service, const std::string &caller, const std::string &instance,
+                std::string &out);
+void write_statement(std::string_view id, std::string_view text, std::string &out);
+
+/// Returns statement texts of the proxy's own.
+[[nodiscard]] std::string begin_text(bool read_only, const std::optional<consistency::position> &at_least);
+[[nodiscard]] std::string at_least_text(const consistency::position &floor, std::string_view text);
+[[nodiscard]] std::string execute_text(const std::string &name, std::string_view rest);
+[[nodiscard]] std::string set_text(const std::string &name, const std::string &value);
+[[nodiscard]] std::string prepare_text(const session::prepared_statement &prepared);
+[[nodiscard]] std::string rollback_text();
+[[nodiscard]] std::string reset_text();
+[[nodiscard]] std::string status_text();
+[[nodiscard]] std::string pause_text(std::uint64_t term);
+[[nodiscard]] std::string resume_text();
+[[nodiscard]] std::string step_down_text(std::uint64_t term);
+
+/// Returns the report in the row that answers a status command, or none if it is not one.
+[[nodiscard]] std::optional<replication::member_report> read_member_report(std::string_view row);
+
+/// Returns the answer code's word, for callers and logs.
+[[nodiscard]] std::string_view code_word(session::answer_code code);
+
+} // namespace baobabport::platform
--- /dev/null
+++ b/src/platform/metadata_client.cpp
@@ -0,0 +1,199 @@
+#include "platform/metadata_client.h"
+
+#include "support/keys.h"
+
+#include <event2/http.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace baobabport::platform {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t max_idle = 4;
+constexpr std::chrono::milliseconds watch_slack{700}; ///< a waiting call may answer this much late
+
+std::string escaped(const std::string &text)
+{
+    char *const raw = evhttp_encode_uri(text.c_str());
+    std::string out(raw);
+    std::free(raw); // NOLINT(cppcoreguidelines-no-malloc): libevent allocates with malloc
+    return out;
+}
+
+stored_item read_item(const json &fields)
+{
+    stored_item out;
+    out.key = fields.at("key").get<std::string>();
+    out.revision = fields.at("revision").get<std::uint64_t>();
+    out.removed = fields.value("tombstone", false);
+    if (out.removed)
+        return out;
+    const auto bytes = support::from_base64(fields.at("value").get<std::string>());
+    if (!bytes)
+        throw std::runtime_error("value of " + out.key + " is not base64");
+    out.value = *bytes;
+    out.lease = fields.value("lease_id", std::uint64_t{0});
+    return out;
+}
+
+void read_body(const json &body, store_reply &out)
+{
+    for (const auto *const name : {"items", "events"}) {
+        if (!body.contains(name))
+            continue;
+        for (const auto &it : body.at(name))
+            out.items.push_back(read_item(it));
+    }
+    if (body.contains("key"))
+        out.items.push_back(read_item(body));
+    out.more = body.value("has_more", false);
+    // A change answers with `revision`; reads carry the store's own revision in `as_of`.
+    out.revision = body.value("as_of", body.value("revision", std::uint64_t{0}));
+    out.lease = body.value("lease_id", std::uint64_t{0});
+    out.lease_time = std::chrono::milliseconds(body.value("ttl_ms", std::int64_t{0}));
+}
+
+call_outcome outcome_of(int status)
+{
+    switch (status) {
+    case 200:
+        return call_outcome::done;
+    case 404:
+        return call_outcome::missing;
+    case 412:
+        return call_outcome::conflict;
+    case 410:
+        return call_outcome::history_gone;
+    default:
+        return call_outcome::refused;
+    }
+}
+
+store_reply read_reply(const http::client_answer &answer)
+{
+    store_reply out;
+    if (answer.failure != http::client_failure::none) {
+        out.reason = answer.failure == http::client_failure::timed_out ? "timed out" : "connection broken";
+        return out;
+    }
+    out.outcome = outcome_of(answer.status);
+    if (out.outcome != call_outcome::done)
+        out.reason = "status " + std::to_string(answer.status);
+    if (out.outcome != call_outcome::done && out.outcome != call_outcome::conflict)
+        return out;
+    try {
+        read_body(json::parse(answer.body), out);
+    } catch (const std::exception &ec) {
+        out.outcome = call_outcome::no_answer;
+        out.reason = std::string("unreadable answer: ") + ec.what();
+    }
+    return out;
+}
+
+} // namespace
+
+class metadata_client::impl : public std::enable_shared_from_this<impl>
+{
+public:
+    impl(event_base *base, support::address at) : base_(base), at_(std::move(at)) {}
+
+    void send(const http::client_request &request, reply_hook done)
+    {
+        ++calls_;
+        std::shared_ptr<http::http_client> client;
+        if (idle_.empty()) {
+            client = std::make_shared<http::http_client>(base_, at_);
+        } else {
+            client = std::move(idle_.back());
+            idle_.pop_back();
+        }
+        auto *const raw = client.get();
+        raw->send(request, [self = weak_from_this(), client, done = std::move(done)](const auto &answer) {
+            const auto me = self.lock();
+            if (!me)
+                return;
+            if (answer.failure == http::client_failure::none && me->idle_.size() < max_idle)
+                me->idle_.push_back(client);
+            done(read_reply(answer));
+        });
+    }
+
+    [[nodiscard]] std::uint64_t calls() const { return calls_; }
+
+private:
+    event_base *base_;
+    support::address at_;
+    std::vector<std::shared_ptr<http::http_client>> idle_;
+    std::uint64_t calls_ = 0;
+};
+
+metadata_client::metadata_client(event_base *base, support::address at)
+    : impl_(std::make_shared<impl>(base, std::move(at)))
+{
+}
+
+metadata_client::~metadata_client() = default;
+
+void metadata_client::read(const std::string &key, std::chrono::milliseconds timeout, reply_hook done)
+{
+    impl_->send({http::method_kind::get, "/api/kv-key?key=" + escaped(key), {}, {}, timeout},
+                std::move(done));
+}
+
+void metadata_client::list(const std::string &prefix, const std::string &after,
+                           std::chrono::milliseconds timeout, reply_hook done)
+{
+    auto path = "/api/kv-range?prefix=" + escaped(prefix);
+    if (!after.empty())
+        path += "&after=" + escaped(after);
+    impl_->send({http::method_kind::get, path, {}, {}, timeout}, std::move(done));
+}
+
+void metadata_client::watch(const std::string &prefix, std::uint64_t after, std::chrono::milliseconds wait,
+                            reply_hook done)
+{
+    const auto path = "/api/kv-watch?prefix=" + escaped(prefix) + "&after=" + std::to_string(after) +
+                      "&wait_ms=" + std::to_string(wait.count());
+    impl_->send({http::method_kind::get, path, {}, {}, wait + watch_slack}, std::move(done));
+}
+
+void metadata_client::change(const key_change &what, std::chrono::milliseconds timeout, reply_hook done)
+{
+    json body{{"precondition", json::array()}, {"writes", json::array()}, {"remove", what.removals}};
+    for (const auto &it : what.conditions)
+        body["precondition"].push_back({{"key", it.key}, {"revision", it.revision}});
+    for (const auto &it : what.writes) {
+        body["writes"].push_back(
+            {{"key", it.key}, {"value", support::to_base64(it.value)}, {"lease_id", it.lease}});
+    }
+    impl_->send({http::method_kind::post, "/api/kv-txn", body.dump(), {}, timeout}, std::move(done));
+}
+
+void metadata_client::open_lease(std::chrono::milliseconds time, std::chrono::milliseconds timeout,
+                                 reply_hook done)
+{
+    const json body{{"ttl_ms", time.count()}};
+    impl_->send({http::method_kind::post, "/api/kv-lease", body.dump(), {}, timeout}, std::move(done));
+}
+
+void metadata_client::renew_lease(std::uint64_t lease, std::chrono::milliseconds timeout, reply_hook done)
+{
+    const auto path = "/api/kv-keep/" + std::to_string(lease);
+    impl_->send({http::method_kind::post, path, "{}", {}, timeout}, std::move(done));
+}
+
+void metadata_client::end_lease(std::uint64_t lease, std::chrono::milliseconds timeout, reply_hook done)
+{
+    const auto path = "/api/kv-lease-end/" + std::to_string(lease);
+    impl_->send({http::method_kind::remove, path, {}, {}, timeout}, std::move(done));
+}
+
+std::uint64_t metadata_client::calls() const
+{
+    return impl_->calls();
+}
+
+} // namespace baobabport::platform
--- /dev/null
+++ b/src/platform/metadata_client.h
@@ -0,0 +1,106 @@
+// The platform's metadata store, as this process calls it.
+
+#pragma once
+
+#include "http/http_client.h"
+#include "support/address.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+struct event_base;
+
+namespace baobabport::platform {
+
+/// What a call to the store came to.
+enum class call_outcome : std::uint8_t
+{
+    done,
+    missing,      ///< no such key or lease
+    conflict,     ///< a precondition did not hold; nothing was done
+    history_gone, ///< a watch must begin anew from a read
+    refused,      ///< over the rate or out of service; nothing was done
+    no_answer,    ///< may have been done, or may be done later
+};
+
+struct stored_item
+{
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0;
+    std::uint64_t lease = 0;
+    bool removed = false; ///< in a watch: the key is gone
+};
+
+struct store_reply
+{
+    call_outcome outcome = call_outcome::no_answer;
+    std::string reason; ///< for logs, when not done
+    std::vector<stored_item> items;
+    bool more = false;          ///< a listing goes on after its last item
+    std::uint64_t revision = 0; ///< of the store at the time of the answer, or of the change
+    std::uint64_t lease = 0;
+    std::chrono::milliseconds lease_time{0};
+};
+
+struct key_condition
+{
+    std::string key;
+    std::uint64_t revision = 0; ///< 0: the key must not exist
+};
+
+struct key_write
+{
+    std::string key;
+    std::string value;
+    std::uint64_t lease = 0; ///< 0: the key outlives its writer
+};
+
+struct key_change
+{
+    std::vector<key_condition> conditions;
+    std::vector<key_write> writes;
+    std::vector<std::string> removals;
+};
+
+/**
+ * Calls the store. A connection that leaves a call without answer is not used again.
+ */
+class metadata_client
+{
+public:
+    using reply_hook = std::function<void(const store_reply &)>;
+
+    metadata_client(event_base *base, support::address at);
+    ~metadata_client();
+    metadata_client(const metadata_client &) = delete;
+    metadata_client &operator=(const metadata_client &) = delete;
+
+    void read(const std::string &key, std::chrono::milliseconds timeout, reply_hook done);
+
+    /// Lists keys by prefix, one page from behind `after`.
+    void list(const std::string &prefix, const std::string &after, std::chrono::milliseconds timeout,
+              reply_hook done);
+
+    /// Waits for changes behind the revision, at most `wait`.
+    void watch(const std::string &prefix, std::uint64_t after, std::chrono::milliseconds wait,
+               reply_hook done);
+
+    void change(const key_change &what, std::chrono::milliseconds timeout, reply_hook done);
+
+    void open_lease(std::chrono::milliseconds time, std::chrono::milliseconds timeout, reply_hook done);
+    void renew_lease(std::uint64_t lease, std::chrono::milliseconds timeout, reply_hook done);
+    void end_lease(std::uint64_t lease, std::chrono::milliseconds timeout, reply_hook done);
+
+    [[nodiscard]] std::uint64_t calls() const;
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace baobabport::platform
--- /dev/null
+++ b/src/platform/record_codec.cpp
@@ -0,0 +1,130 @@
+#include "platform/record_codec.h"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string_view>
+
+namespace baobabport::platform {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+directory::route_kind route_kind_of(const std::string &word)
+{
+    if (word == "primary")
+        return directory::route_kind::primary;
+    if (word == "bounded")
+        return directory::route_kind::bounded;
+    if (word == "read_your_writes")
+        return directory::route_kind::read_your_writes;
+    throw std::runtime_error("unknown route type " + word);
+}
+
+milliseconds milliseconds_of(const json &fields, const char *name)
+{
+    return milliseconds(static_cast<std::int64_t>(fields.at(name).get<double>()));
+}
+
+directory::route read_route(const json &fields)
+{
+    directory::route out;
+    out.name = fields.at("name").get<std::string>();
+    out.database = fields.at("database").get<std::string>();
+    out.service = fields.at("backend").get<std::string>();
+    out.kind = route_kind_of(fields.at("type").get<std::string>());
+    out.statement_timeout = milliseconds_of(fields, "timeout_ms");
+    out.target_latency = milliseconds_of(fields, "target_latency_ms");
+    out.priority = fields.at("priority").get<std::uint32_t>();
+    if (fields.contains("max_staleness_ms"))
+        out.max_staleness = milliseconds_of(fields, "max_staleness_ms");
+    return out;
+}
+
+directory::service read_service(const json &fields)
+{
+    directory::service out;
+    out.name = fields.at("name").get<std::string>();
+    out.max_connections = fields.at("max_connections").get<std::uint32_t>();
+    out.sync_replicas = fields.value("sync_replicas", std::uint32_t{0});
+    return out;
+}
+
+directory::instance_state instance_state_of(const std::string &word)
+{
+    if (word == "ready")
+        return directory::instance_state::ready;
+    if (word == "draining")
+        return directory::instance_state::draining;
+    throw std::runtime_error("unknown state " + word);
+}
+
+consistency::instance_role role_of(const std::string &word)
+{
+    if (word == "primary")
+        return consistency::instance_role::primary;
+    if (word == "replica")
+        return consistency::instance_role::replica;
+    throw std::runtime_error("unknown role " + word);
+}
+
+/// Returns a whole number of at least 0; other numbers and types are an error.
+std::uint64_t whole_number(const json &fields, const char *name)
+{
+    const auto &value = fields.at(name);
+    if (!value.is_number_integer() || value.get<std::int64_t>() < 0)
+        throw std::runtime_error(std::string(name) + " is not a whole number");
+    return value.get<std::uint64_t>();
+}
+
+} // namespace
+
+std::optional<directory::desired_state> read_desired_state(const std::string &value, std::string &reason)
+{
+    try {
+        const auto body = json::parse(value);
+        directory::desired_state out;
+        out.version = body.at("version").get<std::uint64_t>();
+        for (const auto &it : body.at("routes"))
+            out.routes.push_back(read_route(it));
+        for (const auto &it : body.at("backends"))
+            out.services.push_back(read_service(it));
+        out.transaction_idle = milliseconds_of(body.at("limits"), "tx_idle_ms");
+        return out;
+    } catch (const std::exception &ec) {
+        reason = ec.what();
+        return std::nullopt;
+    }
+}
+
+std::optional<directory::instance_record> read_instance_record(const std::string &key,
+                                                               const std::string &value, std::string &reason)
+{
+    try {
+        const auto body = json::parse(value);
+        directory::instance_record out;
+        out.id = key.substr(std::string_view(instances_prefix).size());
+        out.service = body.at("backend").get<std::string>();
+        out.data_centre = body.at("zone").get<std::string>();
+        const auto at = support::parse_address(body.at("address").get<std::string>());
+        if (!at)
+            throw std::runtime_error("address is not IP:PORT");
+        out.at = *at;
+        out.state = instance_state_of(body.at("state").get<std::string>());
+        out.role = role_of(body.at("db_role").get<std::string>());
+        out.slots = static_cast<std::uint32_t>(whole_number(body, "slots"));
+        out.warm_up = milliseconds_of(body, "cold_remaining_ms");
+        // `born` is when the process started, not the machine.
+        if (body.contains("born"))
+            out.started_at = milliseconds(whole_number(body, "born"));
+        if (out.id.empty() || out.service.empty())
+            throw std::runtime_error("id or service is empty");
+        return out;
+    } catch (const std::exception &ec) {
+        reason = ec.what();
+        return std::nullopt;
+    }
+}
+
+} // namespace baobabport::platform
--- a/src/pooler/document_task.cpp
+++ b/src/pooler/document_task.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-document_task::document_task(event_base *base, platform::store_client &store, std::string database,
+document_task::document_task(event_base *base, store::store_client &store, std::string database,
                              std::uint64_t seed, hooks with)
     : store_(store), database_(std::move(database)), hooks_(std::move(with)),
       timer_(base, [this] { watch(); }), pace_(seed)
@@ -38,7 +38,7 @@
 void document_task::watch()
 {
     const auto number = ++watch_number_;
-    const auto take_if_current = [this, number](const platform::store_answer &answer) {
+    const auto take_if_current = [this, number](const store::store_answer &answer) {
         if (number == watch_number_)
             take(answer);
     };
@@ -50,9 +50,9 @@
     store_.watch(key, holder_.revision(), watch_time, take_if_current);
 }
 
-void document_task::take(const platform::store_answer &answer)
+void document_task::take(const store::store_answer &answer)
 {
-    using platform::store_outcome;
+    using store::store_outcome;
     if (answer.outcome == store_outcome::done)
         offer(answer.revision, answer.value);
     if (answer.outcome == store_outcome::done || answer.outcome == store_outcome::unchanged) {
--- a/src/pooler/document_task.h
+++ b/src/pooler/document_task.h
@@ -4,7 +4,7 @@
 
 #include "document/document_holder.h"
 #include "inner/timer.h"
-#include "platform/store_client.h"
+#include "store/store_client.h"
 #include "routing/store_pace.h"
 
 #include <functional>
@@ -24,7 +24,7 @@
         std::function<void()> ask_peers; ///< the store gives no answer and there is no document yet
     };
 
-    document_task(event_base *base, platform::store_client &store, std::string database, std::uint64_t seed,
+    document_task(event_base *base, store::store_client &store, std::string database, std::uint64_t seed,
                   hooks with);
 
     /// Begins to watch; done again, it does nothing.
@@ -40,9 +40,9 @@
 
 private:
     void watch();
-    void take(const platform::store_answer &answer);
+    void take(const store::store_answer &answer);
 
-    platform::store_client &store_;
+    store::store_client &store_;
     std::string database_;
     hooks hooks_;
     document::document_holder holder_;
--- a/src/pooler/pooler_task.cpp
+++ b/src/pooler/pooler_task.cpp
@@ -50,7 +50,7 @@
             base, store_, name, seed_of(settings_) ^ std::hash<std::string>{}(name), std::move(hooks));
     }
     vm_list_task_ =
-        std::make_unique<platform::vm_list_task>(base, store_, seed_of(settings_), [this](const auto &list) {
+        std::make_unique<store::vm_list_task>(base, store_, seed_of(settings_), [this](const auto &list) {
             vm_list_ = list;
             for (auto &[name, state] : databases_)
                 apply_vm_list(state);
@@ -331,7 +331,7 @@
     const auto value = nlohmann::json{{"term", record.term}, {"primary", name}}.dump();
     // For people and tools to see; the instances' own terms decide.
     store_.read(key, store_timeout, [this, key, value](const auto &answer) {
-        if (answer.outcome == platform::store_outcome::unknown)
+        if (answer.outcome == store::store_outcome::unknown)
             return;
         store_.compare_and_swap(key, answer.revision, value, store_timeout, [](const auto &) {});
     });
--- a/src/pooler/pooler_task.h
+++ b/src/pooler/pooler_task.h
@@ -6,8 +6,8 @@
 #include "inner/pooler_links.h"
 #include "inner/stream_connection.h"
 #include "inner/timer.h"
-#include "platform/store_client.h"
-#include "platform/vm_list.h"
+#include "store/store_client.h"
+#include "store/vm_list.h"
 #include "pooler/document_task.h"
 #include "pooler/home_task.h"
 #include "routing/home_ranking.h"
@@ -96,13 +96,13 @@
     event_base *base_;
     settings::process_settings settings_;
     stopped_hook stopped_;
-    platform::store_client store_;
+    store::store_client store_;
     inner::pooler_links links_;
     std::map<std::string, database_state> databases_;
     std::map<std::uint64_t, std::unique_ptr<inner::stream_connection>> connections_;
     std::map<home::request_key, origin> origins_; ///< requests not answered yet
-    platform::vm_list vm_list_;
-    std::unique_ptr<platform::vm_list_task> vm_list_task_;
+    store::vm_list vm_list_;
+    std::unique_ptr<store::vm_list_task> vm_list_task_;
     std::unique_ptr<http::operator_server> operators_;
     support::metrics metrics_;
     inner::timer housekeeping_;
--- a/src/programs/program_main.cpp
+++ b/src/programs/program_main.cpp
@@ -24,6 +24,13 @@
     (*context->drain)();
 }
 
+void on_hangup(int /*signal*/, short /*what*/, void *arg)
+{
+    const auto &reload = *static_cast<const std::function<void()> *>(arg);
+    if (reload)
+        reload();
+}
+
 } // namespace
 
 std::optional<settings::process_settings> load_settings(settings::program_kind program,
@@ -36,7 +43,8 @@
     return out;
 }
 
-void run_until_stopped(event_base *base, const std::function<void()> &drain)
+void run_until_stopped(event_base *base, const std::function<void()> &drain,
+                       const std::function<void()> &reload)
 {
     std::signal(SIGPIPE, SIG_IGN);
     signal_context context{base, &drain, false};
@@ -44,7 +52,10 @@
     auto *const interrupt = evsignal_new(base, SIGINT, on_signal, &context);
     event_add(term, nullptr);
     event_add(interrupt, nullptr);
+    auto *const hangup = evsignal_new(base, SIGHUP, on_hangup, const_cast<std::function<void()> *>(&reload));
+    event_add(hangup, nullptr);
     event_base_dispatch(base);
+    event_free(hangup);
     event_free(term);
     event_free(interrupt);
 }
--- a/src/programs/program_main.h
+++ b/src/programs/program_main.h
@@ -25,9 +25,10 @@
                                                         const std::string &path);
 
 /**
- * Runs the loop; SIGTERM and SIGINT call `drain`, a second one ends at once.
+ * Runs the loop; SIGTERM and SIGINT call `drain`, a second one ends at once. SIGHUP calls `reload`.
  */
-void run_until_stopped(event_base *base, const std::function<void()> &drain);
+void run_until_stopped(event_base *base, const std::function<void()> &drain,
+                       const std::function<void()> &reload = {});
 
 /// A program's own words.
 struct program_text
--- /dev/null
+++ b/src/proxy/duty_task.cpp
@@ -0,0 +1,181 @@
+#include "proxy/duty_task.h"
+
+#include "support/json_log.h"
+
+#include <ctime>
+#include <utility>
+
+namespace baobabport::proxy {
+
+using platform::call_outcome;
+using support::log_event;
+
+namespace {
+
+constexpr const char *prefix = "baobabport/failover/";
+constexpr const char *holder_key = "baobabport/failover/holder";
+constexpr const char *generation_key = "baobabport/failover/generation";
+
+} // namespace
+
+duty_task::duty_task(event_base *base, platform::metadata_client &store, std::string vm)
+    : store_(store), vm_(std::move(vm)), timer_(base, [this] { look(); }),
+      renew_timer_(base, [this] { renew(); })
+{
+}
+
+std::chrono::nanoseconds duty_task::boot_time()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+}
+
+std::optional<std::uint64_t> duty_task::held(std::chrono::nanoseconds boot_time) const
+{
+    if (!holding_ || boot_time >= valid_until_)
+        return std::nullopt;
+    return generation_;
+}
+
+void duty_task::look()
+{
+    if (resigned_)
+        return;
+    store_.list(prefix, {}, store_timeout, [this](const auto &reply) {
+        if (reply.outcome != call_outcome::done) {
+            again(backoff_.after_failure());
+            return;
+        }
+        backoff_.succeeded();
+        revision_ = reply.revision;
+        read_keys(reply);
+        if (holder_revision_ == 0) {
+            open_lease();
+        } else if (lease_ != 0 && holder_lease_ == lease_ && holder_ == vm_) {
+            holding_ = true; // the answer to taking it was lost
+            valid_until_ = lease_asked_at_ + lease_time;
+            renew();
+        } else {
+            watch();
+        }
+    });
+}
+
+void duty_task::read_keys(const platform::store_reply &reply)
+{
+    holder_revision_ = 0;
+    holder_.clear();
+    for (const auto &it : reply.items) {
+        if (it.key == holder_key) {
+            holder_revision_ = it.revision;
+            holder_ = it.value;
+            holder_lease_ = it.lease;
+        } else if (it.key == generation_key) {
+            generation_revision_ = it.revision;
+            generation_ = std::strtoull(it.value.c_str(), nullptr, 10);
+        }
+    }
+}
+
+void duty_task::watch()
+{
+    store_.watch(prefix, revision_, watch_time, [this](const auto &reply) {
+        if (reply.outcome != call_outcome::done && reply.outcome != call_outcome::history_gone) {
+            again(backoff_.after_failure());
+            return;
+        }
+        if (reply.outcome == call_outcome::done && reply.items.empty()) {
+            revision_ = std::max(revision_, reply.revision);
+            watch();
+            return;
+        }
+        look();
+    });
+}
+
+void duty_task::open_lease()
+{
+    lease_ = 0;
+    const auto asked_at = boot_time();
+    store_.open_lease(lease_time, store_timeout, [this, asked_at](const auto &reply) {
+        if (reply.outcome != call_outcome::done) {
+            again(backoff_.after_failure());
+            return;
+        }
+        lease_ = reply.lease;
+        lease_asked_at_ = asked_at;
+        take_key();
+    });
+}
+
+void duty_task::take_key()
+{
+    platform::key_change change;
+    change.conditions = {{holder_key, 0}, {generation_key, generation_revision_}};
+    change.writes = {{holder_key, vm_, lease_}, {generation_key, std::to_string(generation_ + 1), 0}};
+    store_.change(change, store_timeout, [this](const auto &reply) {
+        if (reply.outcome != call_outcome::done) {
+            // Another process was first, or the answer is lost: the keys tell.
+            again(reply.outcome == call_outcome::conflict ? std::chrono::milliseconds(0)
+                                                          : backoff_.after_failure());
+            return;
+        }
+        ++generation_;
+        holding_ = true;
+        valid_until_ = lease_asked_at_ + lease_time;
+        log_event("failover_duty_taken", {{"generation", std::to_string(generation_)}});
+        renew_timer_.start(renew_interval);
+    });
+}
+
+void duty_task::renew()
+{
+    if (!holding_ || resigned_)
+        return;
+    const auto asked_at = boot_time();
+    store_.renew_lease(lease_, store_timeout, [this, asked_at](const auto &reply) {
+        if (!holding_ || resigned_)
+            return;
+        if (reply.outcome == call_outcome::missing) {
+            lose("the lease has ended");
+            return;
+        }
+        if (reply.outcome == call_outcome::done)
+            valid_until_ = asked_at + lease_time;
+        else if (boot_time() >= valid_until_) {
+            lose("the lease could not be renewed");
+            return;
+        }
+        renew_timer_.start(reply.outcome == call_outcome::done ? renew_interval : store_retry_first);
+    });
+}
+
+void duty_task::lose(const char *reason)
+{
+    holding_ = false;
+    log_event("failover_duty_lost", {{"generation", std::to_string(generation_)}, {"reason", reason}});
+    again(std::chrono::milliseconds(0));
+}
+
+void duty_task::again(std::chrono::milliseconds delay)
+{
+    if (!resigned_)
+        timer_.start(delay);
+}
+
+void duty_task::resign()
+{
+    resigned_ = true;
+    timer_.stop();
+    renew_timer_.stop();
+    if (!holding_)
+        return;
+    holding_ = false;
+    log_event("failover_duty_resigned", {{"generation", std::to_string(generation_)}});
+    store_.end_lease(lease_, store_timeout, [](const auto &) {
+        // An answer changes nothing: without one the lease ends by itself.
+    });
+}
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/duty_task.h
@@ -0,0 +1,73 @@
+// Holds the failover duty: one process at a time replaces primaries, under a rising generation.
+
+#pragma once
+
+#include "inner/timer.h"
+#include "platform/metadata_client.h"
+#include "proxy/store_tasks.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+struct event_base;
+
+namespace baobabport::proxy {
+
+/**
+ * Takes and keeps the duty by a key with a lease. The generation lies in a key without one, so that it
+ * outlives all processes.
+ */
+class duty_task
+{
+public:
+    /// The duty passes on this long after its holder's last renewal; several renewals may fail first.
+    static constexpr std::chrono::milliseconds lease_time{2400};
+    static constexpr std::chrono::milliseconds renew_interval{700};
+    /// Others notice the end of a lease by a watch of this length.
+    static constexpr std::chrono::milliseconds watch_time{4000};
+
+    duty_task(event_base *base, platform::metadata_client &store, std::string vm);
+
+    void start() { look(); }
+
+    /// Gives the duty back, so that another process has it at once.
+    void resign();
+
+    /// Returns the generation while this process holds the duty, or none.
+    [[nodiscard]] std::optional<std::uint64_t> held(std::chrono::nanoseconds boot_time) const;
+    [[nodiscard]] const std::string &vm() const { return vm_; }
+
+    /// Returns the time since boot, including the time during which the VM was suspended.
+    [[nodiscard]] static std::chrono::nanoseconds boot_time();
+
+private:
+    void look();
+    void watch();
+    void open_lease();
+    void take_key();
+    void renew();
+    void lose(const char *reason);
+    void again(std::chrono::milliseconds delay);
+    void read_keys(const platform::store_reply &reply);
+
+    platform::metadata_client &store_;
+    std::string vm_;
+    inner::timer timer_;
+    inner::timer renew_timer_;
+    store_backoff backoff_;
+    std::uint64_t revision_ = 0;
+    std::uint64_t holder_revision_ = 0;     ///< 0: nobody holds the duty
+    std::uint64_t generation_revision_ = 0; ///< 0: there was no holder yet
+    std::uint64_t generation_ = 0;          ///< of the last holder known
+    std::string holder_;
+    std::uint64_t holder_lease_ = 0;
+    std::uint64_t lease_ = 0;
+    bool holding_ = false;
+    bool resigned_ = false;
+    std::chrono::nanoseconds lease_asked_at_{0};
+    std::chrono::nanoseconds valid_until_{0}; ///< by boot time
+};
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/failover_task.cpp
@@ -0,0 +1,88 @@
+#include "proxy/failover_task.h"
+
+#include "support/json_log.h"
+
+#include <utility>
+
+namespace baobabport::proxy {
+
+using failover::action_kind;
+using support::log_event;
+
+failover_task::failover_task(std::shared_ptr<group_task> group, platform::duty_client &orders,
+                             const duty_task &duty)
+    : group_(std::move(group)), orders_(orders), duty_(duty)
+{
+}
+
+void failover_task::tick(time_point now)
+{
+    const auto generation = duty_.held(duty_task::boot_time());
+    if (!generation) {
+        if (decisions_->current() != failover::switchover::phase::idle)
+            decisions_ = std::make_shared<failover::switchover>();
+        return;
+    }
+    const auto snapshot = group_->snapshot(now);
+    if (now - asked_at_ >= watch_interval) {
+        asked_at_ = now;
+        for (const auto &it : snapshot.members)
+            group_->probe(it.id);
+    }
+    const auto before = decisions_->current();
+    for (const auto &it : decisions_->step(snapshot, now))
+        carry_out(it, *generation);
+    if (decisions_->current() != before) {
+        log_event("failover_step", {{"service", group_->identity().service},
+                                    {"phase", std::to_string(static_cast<int>(decisions_->current()))},
+                                    {"primary", snapshot.primary.value_or("none")},
+                                    {"candidate", decisions_->candidate()},
+                                    {"term", std::to_string(snapshot.term)},
+                                    {"generation", std::to_string(*generation)},
+                                    {"reason", std::string(decisions_->last_reason())}});
+    }
+}
+
+void failover_task::carry_out(const failover::action &what, std::uint64_t generation)
+{
+    switch (what.kind) {
+    case action_kind::pause:
+        group_->command(what.instance, platform::pause_text(what.term),
+                        [decisions = decisions_, id = what.instance](const auto &report) {
+                            if (report)
+                                decisions->paused(id, *report);
+                        });
+        return;
+    case action_kind::promote:
+        promote(what.instance, generation);
+        return;
+    case action_kind::step_down:
+        group_->command(what.instance, platform::step_down_text(what.term), [](const auto &) {});
+        return;
+    case action_kind::resume:
+        group_->command(what.instance, platform::resume_text(), [](const auto &) {});
+        return;
+    case action_kind::probe:
+        group_->probe(what.instance);
+        return;
+    }
+}
+
+void failover_task::promote(const std::string &instance, std::uint64_t generation)
+{
+    const platform::promotion_order order{group_->identity().service, instance, duty_.vm(), generation};
+    orders_.promote(order, order_timeout, [decisions = decisions_, order](auto outcome, const auto &reason) {
+        log_event("promotion_ordered", {{"service", order.service},
+                                        {"instance", order.instance},
+                                        {"generation", std::to_string(order.generation)},
+                                        {"outcome", reason}});
+        auto result = failover::promotion_result::uncertain;
+        if (outcome == platform::promotion_outcome::accepted)
+            result = failover::promotion_result::accepted;
+        else if (outcome == platform::promotion_outcome::instance_absent)
+            result = failover::promotion_result::absent;
+        decisions->promoted(result, std::chrono::steady_clock::now());
+    });
+}
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/group_task.cpp
@@ -0,0 +1,398 @@
+#include "proxy/group_task.h"
+
+#include "support/json_log.h"
+
+#include <algorithm>
+
+namespace baobabport::proxy {
+
+using clock_type = std::chrono::steady_clock;
+using consistency::instance_role;
+using support::log_event;
+
+group_task::group_task(event_base *base, group_identity identity)
+    : base_(base), identity_(std::move(identity)), self_(std::make_shared<group_task *>(this))
+{
+}
+
+void group_task::set_members(const std::vector<directory::instance_record> &records, std::uint32_t limit)
+{
+    std::set<std::string> present;
+    for (const auto &it : records) {
+        present.insert(it.id);
+        auto &known = members_[it.id];
+        const bool moved = known.pool && known.pool->target().at != it.at;
+        known.record = it;
+        if (!known.pool || moved) {
+            if (known.pool)
+                known.pool->retire();
+            known.pool = make_pool(it, limit);
+        }
+        known.pool->set_limit(limit);
+    }
+    for (auto it = members_.begin(); it != members_.end();) {
+        if (present.count(it->first)) {
+            ++it;
+            continue;
+        }
+        const auto pool = it->second.pool;
+        state_.forget(it->first);
+        it = members_.erase(it);
+        pool->retire();
+    }
+}
+
+void group_task::member_restarted(const std::string &id)
+{
+    state_.forget(id);
+    const auto it = members_.find(id);
+    if (it == members_.end())
+        return;
+    const auto pool = it->second.pool;
+    members_.erase(it); // the next listing brings it back, with connections to the new process
+    pool->retire();
+}
+
+std::shared_ptr<instance_pool> group_task::make_pool(const directory::instance_record &record,
+                                                     std::uint32_t limit)
+{
+    const std::weak_ptr<group_task *> weak = self_;
+    const auto with_member = [weak, id = record.id](const std::function<void(member &)> &act) {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        const auto it = (*self)->members_.find(id);
+        if (it != (*self)->members_.end())
+            act(it->second);
+    };
+    instance_pool::evidence_hooks evidence;
+    evidence.asked = [with_member] {
+        with_member([](member &it) {
+            if (!it.unanswered_since)
+                it.unanswered_since = clock_type::now();
+        });
+    };
+    evidence.answered = [with_member] {
+        with_member([](member &it) {
+            it.unanswered_since.reset();
+            it.refuses = false;
+        });
+    };
+    evidence.failed = [with_member, id = record.id](const std::string &reason) {
+        with_member([&id, &reason](member &it) {
+            if (!it.refuses)
+                support::log_warning("instance_connection_failed", {{"instance", id}, {"reason", reason}});
+            if (!it.unanswered_since)
+                it.unanswered_since = clock_type::now();
+            it.refuses = true;
+            it.distrusted_until = clock_type::now() + distrust_time;
+        });
+    };
+    return std::make_shared<instance_pool>(
+        base_, upstream_target{record.at, identity_.service, identity_.caller, record.id}, limit,
+        std::move(evidence));
+}
+
+std::shared_ptr<instance_pool> group_task::primary_pool() const
+{
+    return state_.primary() ? pool_of(*state_.primary()) : nullptr;
+}
+
+std::shared_ptr<instance_pool> group_task::pool_of(const std::string &id) const
+{
+    const auto it = members_.find(id);
+    return it == members_.end() ? nullptr : it->second.pool;
+}
+
+std::shared_ptr<instance_pool> group_task::choose_for_read(const read_needs &needs, time_point now) const
+{
+    // A round trip between data centres costs bytes and time; about that of two statements in front.
+    constexpr double other_data_centre = 2.0;
+    constexpr double behind = 8.0;     // a log that was seen short of the floor answers nothing
+    constexpr double distrusted = 20.0;
+    constexpr double leaving = 10.0;
+    constexpr double leads = 1.0;      // the primary has work that nobody else can do
+    std::shared_ptr<instance_pool> best;
+    double best_cost = 0;
+    for (const auto &[id, it] : members_) {
+        if (needs.avoid.count(id))
+            continue;
+        double cost = it.record.data_centre == identity_.data_centre ? 0 : other_data_centre;
+        const auto applied = state_.applied(id);
+        if (needs.floor && applied && *applied < *needs.floor)
+            cost += behind;
+        if (now < it.distrusted_until || !it.pool->reachable(now))
+            cost += distrusted;
+        if (it.record.state == directory::instance_state::draining)
+            cost += leaving;
+        if (state_.primary() == id)
+            cost += leads;
+        const auto in_use = it.pool->open_count() - std::min(it.pool->open_count(), it.pool->idle_count());
+        cost += static_cast<double>(in_use) / std::max(1U, it.record.slots) +
+                2.0 * static_cast<double>(it.pool->waiting_count());
+        if (!best || cost < best_cost) {
+            best = it.pool;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+void group_task::wait_until(std::function<bool()> condition, time_point give_up_at,
+                            std::function<void(bool)> done)
+{
+    if (condition()) {
+        done(true);
+        return;
+    }
+    conditions_.push_back({std::move(condition), give_up_at, std::move(done)});
+    ask_replicas(clock_type::now());
+}
+
+void group_task::confirm(const confirmation_request &request, std::function<void(confirmation_result)> done)
+{
+    confirmations_.push_back({request, std::move(done)});
+    const auto now = clock_type::now();
+    review_confirmations(now);
+    ask_replicas(now);
+}
+
+void group_task::note_answer(const std::string &id, const session::prompt &end, time_point sent_at)
+{
+    if (!end.log)
+        return;
+    state_.observe_applied(id, *end.log);
+    state_.observe_primary_log(id, *end.log, sent_at);
+}
+
+void group_task::reject_primary(const std::string &id)
+{
+    if (state_.primary() == id)
+        log_event("primary_rejected", {{"service", identity_.service}, {"instance", id}});
+    state_.reject_primary(id);
+    search_primary(clock_type::now());
+}
+
+void group_task::distrust(const std::string &id, time_point now)
+{
+    const auto it = members_.find(id);
+    if (it != members_.end())
+        it->second.distrusted_until = now + distrust_time;
+}
+
+void group_task::command(const std::string &id, const std::string &text, report_hook done)
+{
+    const auto pool = pool_of(id);
+    if (!pool) {
+        done(std::nullopt);
+        return;
+    }
+    const std::weak_ptr<group_task *> weak = self_;
+    const connection_request request{0, clock_type::now() + probe_timeout, nullptr};
+    pool->acquire(request, [weak, id, text, pool, done = std::move(done)](const auto &connection, auto) {
+        if (!connection) {
+            done(std::nullopt);
+            return;
+        }
+        const auto asked_at = clock_type::now();
+        connection->send(platform::own_statement_id, text,
+                         [weak, id, pool, connection, asked_at, done](const auto &answer) {
+            std::optional<replication::member_report> report;
+            if (answer && !answer->error && !answer->rows.empty())
+                report = platform::read_member_report(answer->rows.front());
+            const auto self = weak.lock();
+            if (answer)
+                pool->release(connection);
+            if (self && report) {
+                if (answer->end.log)
+                    (*self)->state_.observe_applied(id, *answer->end.log);
+                (*self)->take_report(id, *report, asked_at);
+            }
+            done(report);
+        });
+    });
+}
+
+void group_task::probe(const std::string &id)
+{
+    const auto found = members_.find(id);
+    const auto now = clock_type::now();
+    if (found == members_.end() || (found->second.probing && now - found->second.probe_sent < probe_timeout))
+        return;
+    found->second.probing = true;
+    found->second.probe_sent = now;
+    const std::weak_ptr<group_task *> weak = self_;
+    command(id, platform::status_text(), [weak, id](const auto &) {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        const auto it = (*self)->members_.find(id);
+        if (it != (*self)->members_.end())
+            it->second.probing = false;
+        (*self)->ask_replicas(clock_type::now());
+    });
+}
+
+void group_task::take_report(const std::string &id, const replication::member_report &report,
+                             time_point asked_at)
+{
+    const auto former = state_.primary();
+    const auto former_term = state_.term();
+    const bool was_contested = state_.contested();
+    state_.observe(id, report, asked_at);
+    if (state_.primary() != former || state_.term() != former_term) {
+        log_event("primary_known", {{"service", identity_.service},
+                                    {"instance", state_.primary().value_or("none")},
+                                    {"term", std::to_string(state_.term())}});
+    }
+    if (state_.contested() && !was_contested) {
+        log_event("primary_contested", {{"service", identity_.service},
+                                        {"replica", id},
+                                        {"paused_at", std::to_string(report.paused_at)},
+                                        {"term", std::to_string(report.term)}});
+    }
+    review(clock_type::now());
+}
+
+void group_task::review(time_point now)
+{
+    review_confirmations(now);
+    review_conditions(now);
+}
+
+void group_task::review_confirmations(time_point now)
+{
+    std::list<waiting_confirmation> over;
+    std::vector<confirmation_result> results;
+    for (auto it = confirmations_.begin(); it != confirmations_.end();) {
+        const auto &request = it->request;
+        std::optional<confirmation_result> result;
+        const bool replicated =
+            !request.commit || *request.commit <= state_.replicated() || now >= request.replicated_by;
+        if (state_.term() > request.term)
+            result = confirmation_result::superseded;
+        else if (state_.primary() && state_.confirmed_at() >= request.since && replicated)
+            result = confirmation_result::confirmed;
+        else if (now >= request.give_up_at)
+            result = confirmation_result::expired;
+        const auto next = std::next(it);
+        if (result) {
+            over.splice(over.end(), confirmations_, it);
+            results.push_back(*result);
+        }
+        it = next;
+    }
+    std::size_t n = 0;
+    for (auto &it : over)
+        it.done(results[n++]);
+}
+
+void group_task::review_conditions(time_point now)
+{
+    std::list<condition_waiter> over;
+    for (auto it = conditions_.begin(); it != conditions_.end();) {
+        const auto next = std::next(it);
+        if (it->condition() || now >= it->give_up_at)
+            over.splice(over.end(), conditions_, it);
+        it = next;
+    }
+    for (auto &it : over)
+        it.done(it.condition());
+}
+
+std::vector<std::string> group_task::replicas_by_preference(time_point now) const
+{
+    std::vector<std::string> out;
+    for (const auto &[id, it] : members_) {
+        if (state_.primary() != id)
+            out.push_back(id);
+    }
+    const auto cost = [this, now](const std::string &id) {
+        const auto &it = members_.at(id);
+        const auto *const report = state_.report_of(id);
+        const bool behind = report && report->received < state_.replicated();
+        return (it.record.data_centre == identity_.data_centre ? 0 : 1) + (behind ? 2 : 0) +
+               (now < it.distrusted_until || !it.pool->reachable(now) ? 4 : 0);
+    };
+    std::stable_sort(out.begin(), out.end(),
+                     [&cost](const auto &a, const auto &b) { return cost(a) < cost(b); });
+    return out;
+}
+
+void group_task::ask_replicas(time_point now)
+{
+    const bool floor_stale = !conditions_.empty();
+    if (confirmations_.empty() && !floor_stale)
+        return;
+    if (floor_stale && state_.primary())
+        probe(*state_.primary());
+    bool wanted = floor_stale;
+    for (const auto &it : confirmations_)
+        wanted = wanted || state_.confirmed_at() < it.request.since || it.request.commit;
+    if (!wanted)
+        return;
+    for (const auto &id : replicas_by_preference(now)) {
+        const auto &it = members_.at(id);
+        const bool overdue = it.probing && now - it.probe_sent >= second_replica_after;
+        probe(id);
+        if (!overdue)
+            break;
+    }
+}
+
+void group_task::search_primary(time_point now)
+{
+    if (state_.primary() && !state_.contested())
+        return;
+    if (now - searched_at_ < search_interval)
+        return;
+    searched_at_ = now;
+    for (const auto &it : members_)
+        probe(it.first);
+}
+
+void group_task::refresh_floor(time_point now)
+{
+    if (now - floor_wanted_at_ > floor_demand || !state_.primary())
+        return;
+    if (state_.floor_at(now - floor_refresh))
+        return;
+    probe(*state_.primary());
+    const auto replicas = replicas_by_preference(now);
+    if (!replicas.empty())
+        probe(replicas.front());
+}
+
+void group_task::tick(time_point now)
+{
+    std::vector<std::shared_ptr<instance_pool>> pools;
+    for (const auto &it : members_)
+        pools.push_back(it.second.pool);
+    for (const auto &it : pools)
+        it->tick(now);
+    search_primary(now);
+    refresh_floor(now);
+    ask_replicas(now);
+    review(now);
+}
+
+failover::group_snapshot group_task::snapshot(time_point now) const
+{
+    failover::group_snapshot out;
+    out.primary = state_.primary();
+    out.term = state_.term();
+    for (const auto &[id, it] : members_) {
+        failover::member_view view;
+        view.id = id;
+        view.leaving = it.record.state == directory::instance_state::draining;
+        view.refuses = it.refuses;
+        if (it.unanswered_since)
+            view.silent_for = std::chrono::duration_cast<std::chrono::milliseconds>(now - *it.unanswered_since);
+        if (const auto *const report = state_.report_of(id))
+            view.report = *report;
+        out.members.push_back(std::move(view));
+    }
+    return out;
+}
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/group_task.h
@@ -0,0 +1,162 @@
+// One group of instances as this process sees it: connections, the primary, and confirmations.
+
+#pragma once
+
+#include "directory/instance_record.h"
+#include "failover/switchover.h"
+#include "proxy/instance_pool.h"
+#include "replication/group_state.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+struct event_base;
+
+namespace baobabport::proxy {
+
+using consistency::position;
+
+/// What an answer of the primary waits for before it goes to its caller.
+struct confirmation_request
+{
+    time_point since;               ///< a question asked at this time or later must confirm the primary
+    std::uint64_t term = 0;         ///< of the primary that answered
+    std::optional<position> commit; ///< a replica should have received this
+    time_point replicated_by;       ///< until then, that is waited for
+    time_point give_up_at;
+};
+
+enum class confirmation_result : std::uint8_t
+{
+    confirmed,
+    superseded, ///< another primary leads a later term
+    expired,
+};
+
+/// What a read asks of an instance.
+struct read_needs
+{
+    std::optional<position> floor;
+    std::set<std::string> avoid; ///< instances that were tried
+};
+
+/// Who this process is, for its connections.
+struct group_identity
+{
+    std::string service;
+    std::string caller;
+    std::string data_centre;
+};
+
+/**
+ * Owns the pools to a group's instances.
+ */
+class group_task
+{
+public:
+    /// An instance that fails is avoided for reads this long; a few detection intervals.
+    static constexpr std::chrono::milliseconds distrust_time{500};
+    /// Confirmations are asked of a second replica when the first has not answered by then.
+    static constexpr std::chrono::milliseconds second_replica_after{40};
+    /// A question for a report is given up after this time.
+    static constexpr std::chrono::milliseconds probe_timeout{500};
+    /// Reports are asked for this often while the primary is unknown or contested.
+    static constexpr std::chrono::milliseconds search_interval{60};
+    /// While reads need a floor, it is at most this old; half of the shortest staleness in use.
+    static constexpr std::chrono::milliseconds floor_refresh{500};
+    /// Floors are kept fresh this long after the last read that needed one.
+    static constexpr std::chrono::milliseconds floor_demand{2000};
+
+    group_task(event_base *base, group_identity identity);
+
+    /// Takes in the instances of the group and the connections each allows this process.
+    void set_members(const std::vector<directory::instance_record> &records, std::uint32_t limit);
+
+    /// Takes in that another process runs under the id.
+    void member_restarted(const std::string &id);
+
+    void tick(time_point now);
+
+    /// Returns the pool of the trusted primary, or null.
+    [[nodiscard]] std::shared_ptr<instance_pool> primary_pool() const;
+    [[nodiscard]] std::shared_ptr<instance_pool> pool_of(const std::string &id) const;
+
+    /// Returns the pool that suits the read best, or null.
+    [[nodiscard]] std::shared_ptr<instance_pool> choose_for_read(const read_needs &needs, time_point now) const;
+
+    /// Calls the hook with true once the condition holds, or with false at `give_up_at`.
+    void wait_until(std::function<bool()> condition, time_point give_up_at, std::function<void(bool)> done);
+
+    /// Notes that reads need a recent floor.
+    void want_floor(time_point now) { floor_wanted_at_ = now; }
+
+    void confirm(const confirmation_request &request, std::function<void(confirmation_result)> done);
+
+    /// Takes in the log position and time of an answer to a caller's statement.
+    void note_answer(const std::string &id, const session::prompt &end, time_point sent_at);
+
+    /// Takes in that the instance refused to act as primary.
+    void reject_primary(const std::string &id);
+    void distrust(const std::string &id, time_point now);
+
+    using report_hook = std::function<void(const std::optional<replication::member_report> &)>;
+
+    /// Sends a command of the proxy's own; its answer is a report.
+    void command(const std::string &id, const std::string &text, report_hook done);
+    void probe(const std::string &id);
+
+    [[nodiscard]] failover::group_snapshot snapshot(time_point now) const;
+    [[nodiscard]] const replication::group_state &state() const { return state_; }
+    [[nodiscard]] const group_identity &identity() const { return identity_; }
+    [[nodiscard]] std::size_t waiting_confirmations() const { return confirmations_.size(); }
+
+private:
+    struct member
+    {
+        directory::instance_record record;
+        std::shared_ptr<instance_pool> pool;
+        std::optional<time_point> unanswered_since;
+        time_point distrusted_until;
+        time_point probe_sent;
+        bool probing = false;
+        bool refuses = false;
+    };
+    struct waiting_confirmation
+    {
+        confirmation_request request;
+        std::function<void(confirmation_result)> done;
+    };
+    struct condition_waiter
+    {
+        std::function<bool()> condition;
+        time_point give_up_at;
+        std::function<void(bool)> done;
+    };
+
+    std::shared_ptr<instance_pool> make_pool(const directory::instance_record &record, std::uint32_t limit);
+    void review(time_point now);
+    void review_confirmations(time_point now);
+    void review_conditions(time_point now);
+    void ask_replicas(time_point now);
+    void search_primary(time_point now);
+    void refresh_floor(time_point now);
+    void take_report(const std::string &id, const replication::member_report &report, time_point asked_at);
+    std::vector<std::string> replicas_by_preference(time_point now) const;
+
+    event_base *base_;
+    group_identity identity_;
+    replication::group_state state_;
+    std::map<std::string, member> members_;
+    std::list<waiting_confirmation> confirmations_;
+    std::list<condition_waiter> conditions_;
+    time_point floor_wanted_at_;
+    time_point searched_at_;
+    std::shared_ptr<group_task *> self_; ///< callbacks hold it weakly: they may outlive the group
+};
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/instance_pool.cpp
@@ -0,0 +1,221 @@
+#include "proxy/instance_pool.h"
+
+#include "support/json_log.h"
+
+#include <algorithm>
+
+namespace baobabport::proxy {
+
+using clock_type = std::chrono::steady_clock;
+
+instance_pool::instance_pool(event_base *base, upstream_target target, std::uint32_t limit,
+                             evidence_hooks evidence)
+    : base_(base), target_(std::move(target)), limit_(limit), evidence_(std::move(evidence))
+{
+}
+
+instance_pool::~instance_pool()
+{
+    for (const auto &it : all_)
+        it->abandon();
+}
+
+instance_pool::ticket instance_pool::acquire(const connection_request &request, given_hook given)
+{
+    const auto id = ++last_ticket_;
+    if (retired_) {
+        given(nullptr, no_connection::unreachable);
+        return id;
+    }
+    if (waiting_.empty()) {
+        if (const auto it = take_idle(request.values.get())) {
+            given(it, std::nullopt);
+            return id;
+        }
+    }
+    if (all_.empty() && !reachable(clock_type::now())) {
+        given(nullptr, no_connection::unreachable);
+        return id;
+    }
+    waiting_.push_back({id, request, std::move(given)});
+    open_for_waiting();
+    return id;
+}
+
+void instance_pool::cancel(ticket which)
+{
+    waiting_.remove_if([which](const waiter &it) { return it.id == which; });
+}
+
+void instance_pool::release(const connection &it)
+{
+    if (it->is_closed())
+        return;
+    if (retired_ || it->unanswered() > 0) {
+        drop(it);
+        return;
+    }
+    idle_.push_back({it, clock_type::now()});
+    serve();
+}
+
+void instance_pool::drop(const connection &it)
+{
+    const auto found = std::find(all_.begin(), all_.end(), it);
+    it->abandon();
+    if (found == all_.end())
+        return;
+    all_.erase(found);
+    open_for_waiting();
+}
+
+std::size_t instance_pool::opening() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(all_.begin(), all_.end(), [](const auto &it) { return !it->is_open(); }));
+}
+
+void instance_pool::open_for_waiting()
+{
+    if (retired_ || all_.size() >= limit_ || opening() >= waiting_.size() || !reachable(clock_type::now()))
+        return;
+    auto it = std::make_shared<upstream_connection>(base_, target_);
+    evidence_.asked();
+    all_.push_back(it);
+    auto *const raw = it.get();
+    const std::weak_ptr<instance_pool> weak = weak_from_this();
+    it->open({[weak, raw] {
+                  const auto me = weak.lock();
+                  if (!me)
+                      return;
+                  me->evidence_.answered();
+                  me->idle_.push_back({raw->shared_from_this(), clock_type::now()});
+                  me->serve();
+              },
+              evidence_.asked, evidence_.answered,
+              [weak, raw](const std::optional<session::failure> &refusal) {
+                  if (const auto me = weak.lock())
+                      me->on_closed(raw, refusal);
+              }});
+}
+
+void instance_pool::on_closed(upstream_connection *which, const std::optional<session::failure> &refusal)
+{
+    const auto found = std::find_if(all_.begin(), all_.end(), [which](const auto &it) {
+        return it.get() == which;
+    });
+    if (found == all_.end())
+        return;
+    const auto kept = *found; // until this function ends
+    all_.erase(found);
+    const auto idle = std::find_if(idle_.begin(), idle_.end(),
+                                   [which](const auto &it) { return it.it.get() == which; });
+    if (idle != idle_.end())
+        idle_.erase(idle);
+    if (!kept->was_open())
+        retry_at_ = clock_type::now() + retry_after_failure;
+    if (refusal && refusal->code == session::answer_code::connection_limit)
+        evidence_.answered(); // it lives; others hold its connections
+    else
+        evidence_.failed(refusal ? refusal->text : "connection lost");
+    if (all_.empty())
+        refuse_waiting(no_connection::unreachable);
+}
+
+void instance_pool::serve()
+{
+    while (!waiting_.empty() && !idle_.empty()) {
+        const auto next = next_waiter();
+        auto chosen = std::move(*next);
+        waiting_.erase(next);
+        chosen.given(take_idle(chosen.request.values.get()), std::nullopt);
+    }
+}
+
+void instance_pool::refuse_waiting(no_connection reason)
+{
+    auto refused = std::move(waiting_);
+    waiting_.clear();
+    for (auto &it : refused)
+        it.given(nullptr, reason);
+}
+
+instance_pool::connection instance_pool::take_idle(const session::session_values *values)
+{
+    while (!idle_.empty()) {
+        auto chosen = idle_.end() - 1;
+        if (values) {
+            const auto same = std::find_if(idle_.begin(), idle_.end(), [values](const auto &it) {
+                return it.it->values == *values;
+            });
+            if (same != idle_.end())
+                chosen = same;
+        }
+        const auto out = chosen->it;
+        idle_.erase(chosen);
+        if (!out->is_closed())
+            return out;
+    }
+    return nullptr;
+}
+
+std::list<instance_pool::waiter>::iterator instance_pool::next_waiter()
+{
+    return std::min_element(waiting_.begin(), waiting_.end(), [](const auto &a, const auto &b) {
+        return a.request.priority < b.request.priority;
+    });
+}
+
+void instance_pool::tick(time_point now)
+{
+    std::vector<given_hook> late;
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+        if (it->request.give_up_at > now) {
+            ++it;
+            continue;
+        }
+        late.push_back(std::move(it->given));
+        it = waiting_.erase(it);
+    }
+    std::vector<connection> idle_too_long;
+    for (std::size_t n = 0; n + 1 < idle_.size(); ++n) {
+        if (now - idle_[n].since > idle_time)
+            idle_too_long.push_back(idle_[n].it);
+    }
+    for (const auto &it : idle_too_long) {
+        idle_.erase(std::find_if(idle_.begin(), idle_.end(), [&it](const auto &idle) { return idle.it == it; }));
+        drop(it);
+    }
+    end_slow_attempts(now);
+    open_for_waiting();
+    for (const auto &it : late)
+        it(nullptr, no_connection::waited_too_long);
+}
+
+void instance_pool::end_slow_attempts(time_point now)
+{
+    const auto slow = std::find_if(all_.begin(), all_.end(), [now](const auto &it) {
+        return !it->is_open() && now - it->created_at() > open_timeout;
+    });
+    if (slow == all_.end())
+        return;
+    const auto it = *slow;
+    it->abandon();
+    all_.erase(slow);
+    retry_at_ = now + retry_after_failure;
+    evidence_.failed("opening a connection timed out");
+    if (all_.empty())
+        refuse_waiting(no_connection::unreachable);
+}
+
+void instance_pool::retire()
+{
+    retired_ = true;
+    auto idle = std::move(idle_);
+    idle_.clear();
+    for (const auto &it : idle)
+        drop(it.it);
+    refuse_waiting(no_connection::unreachable);
+}
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/proxy_settings.h
@@ -0,0 +1,31 @@
+// The proxy's own settings, next to what the VM gives it.
+
+#pragma once
+
+#include "support/address.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace baobabport::proxy {
+
+using std::chrono::milliseconds;
+
+struct proxy_settings
+{
+    std::string process;
+    std::string data_centre;
+    support::address callers; ///< where sessions come in
+    support::address probe;   ///< where the balancer asks whether to send sessions
+    std::optional<support::address> admin; ///< state dump and metrics
+    support::address store;
+    std::optional<support::address> promotion_orders; ///< none: this VM never replaces a primary
+    milliseconds instance_heartbeat{1200};
+    milliseconds shutdown_time{6000};       ///< from SIGTERM to SIGKILL
+    milliseconds configuration_bound{3000}; ///< a change is in force this long after it was accepted
+};
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/proxy_task.cpp
@@ -0,0 +1,236 @@
+#include "proxy/proxy_task.h"
+
+#include "support/json_log.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+namespace baobabport::proxy {
+
+using clock_type = std::chrono::steady_clock;
+using nlohmann::json;
+using support::log_event;
+
+namespace {
+
+constexpr int listen_backlog = 1024;
+constexpr std::size_t max_admin_body = 4096; ///< bytes
+
+void on_accept(evconnlistener * /*listener*/, evutil_socket_t socket, sockaddr * /*from*/, int /*length*/,
+               void *hook)
+{
+    (*static_cast<std::function<void(int)> *>(hook))(socket);
+}
+
+} // namespace
+
+proxy_task::proxy_task(event_base *base, proxy_settings settings, std::function<void()> stopped)
+    : base_(base), settings_(std::move(settings)), stopped_(std::move(stopped)),
+      store_(base, settings_.store),
+      desired_state_(base, store_, [this](auto state) { apply(std::move(state)); }),
+      instance_list_(base, store_, [this](auto records) { apply(std::move(records)); }),
+      timer_(base, [this] { tick(); })
+{
+    environment_ = {base_, &routes_, &metrics_, [this](const auto &service) { return group_of(service); }};
+    if (settings_.promotion_orders) {
+        orders_.emplace(base_, *settings_.promotion_orders);
+        duty_.emplace(base_, store_, settings_.process);
+        duty_->start();
+    }
+    listen();
+    desired_state_.start();
+    instance_list_.start();
+    timer_.repeat(tick_interval);
+    log_event("started", {{"callers", settings_.callers.text()}, {"data_centre", settings_.data_centre}});
+}
+
+proxy_task::~proxy_task()
+{
+    if (listener_)
+        evconnlistener_free(listener_);
+}
+
+void proxy_task::listen()
+{
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(settings_.callers.port);
+    inet_pton(AF_INET, settings_.callers.ip.c_str(), &at.sin_addr);
+    static std::function<void(int)> accept_hook; // the listener's callback takes a plain pointer
+    accept_hook = [this](int socket) { accept(socket); };
+    listener_ = evconnlistener_new_bind(base_, on_accept, &accept_hook,
+                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listen_backlog,
+                                        reinterpret_cast<const sockaddr *>(&at), sizeof(at));
+    if (!listener_)
+        throw std::runtime_error("cannot listen on " + settings_.callers.text());
+    probe_.emplace(base_, settings_.probe, max_admin_body, [this](const auto &, const auto &answer) {
+        answer->send({ready() ? 200 : 503, "{}", {}});
+    });
+    if (settings_.admin) {
+        admin_.emplace(base_, *settings_.admin, max_admin_body,
+                       [this](const auto &request, const auto &answer) { answer_admin(request, *answer); });
+    }
+}
+
+void proxy_task::accept(int socket)
+{
+    const auto number = ++last_caller_;
+    auto it = std::make_shared<caller_task>(environment_, socket, number, [this](std::uint64_t ended) {
+        callers_.erase(ended);
+    });
+    callers_.emplace(number, it);
+    it->start();
+}
+
+void proxy_task::apply(directory::desired_state state)
+{
+    const auto version = state.version;
+    const auto routes = state.routes.size();
+    if (!routes_.apply(std::move(state)))
+        return;
+    log_event("desired_state_applied",
+              {{"version", std::to_string(version)}, {"routes", std::to_string(routes)}});
+    update_groups();
+}
+
+void proxy_task::apply(std::vector<directory::instance_record> records)
+{
+    const auto change = instances_.take(std::move(records), clock_type::now());
+    for (const auto &it : change.joined)
+        log_event("instance_joined", {{"instance", it}, {"service", instances_.find(it)->service}});
+    for (const auto &it : change.left)
+        log_event("instance_left", {{"instance", it}});
+    for (const auto &it : change.draining)
+        log_event("instance_draining", {{"instance", it}});
+    for (const auto &it : change.restarted) {
+        log_event("instance_restarted", {{"instance", it}});
+        for (const auto &group : groups_)
+            group.second->member_restarted(it);
+    }
+    update_groups();
+}
+
+std::uint32_t proxy_task::connection_limit(const std::string &service) const
+{
+    const auto *const known = routes_.find_service(service);
+    return known ? std::max(1U, known->max_connections / 2) : 1U;
+}
+
+void proxy_task::update_groups()
+{
+    for (const auto &it : routes_.state().services)
+        group_of(it.name);
+    for (const auto &[name, group] : groups_)
+        group->set_members(instances_.of_service(name), connection_limit(name));
+}
+
+std::shared_ptr<group_task> proxy_task::group_of(const std::string &service)
+{
+    auto &group = groups_[service];
+    if (!group) {
+        group = std::make_shared<group_task>(
+            base_, group_identity{service, settings_.process, settings_.data_centre});
+        group->set_members(instances_.of_service(service), connection_limit(service));
+        if (duty_ && orders_)
+            failovers_[service] = std::make_unique<failover_task>(group, *orders_, *duty_);
+    }
+    return group;
+}
+
+bool proxy_task::ready() const
+{
+    return !draining_since_ && routes_.loaded() && instances_.listed() && !instances_.all().empty();
+}
+
+void proxy_task::tick()
+{
+    const auto now = clock_type::now();
+    for (const auto &it : groups_)
+        it.second->tick(now);
+    for (const auto &it : failovers_)
+        it.second->tick(now);
+    auto next = callers_.begin();
+    while (next != callers_.end()) {
+        const auto it = next->second; // a session may end in its tick
+        ++next;
+        it->tick(now);
+    }
+    if (draining_since_)
+        tick_drain(now);
+}
+
+void proxy_task::drain()
+{
+    if (draining_since_)
+        return;
+    draining_since_ = clock_type::now();
+    log_event("draining", {{"sessions", std::to_string(callers_.size())}});
+    if (duty_)
+        duty_->resign();
+}
+
+void proxy_task::tick_drain(time_point now)
+{
+    const auto since = now - *draining_since_;
+    if (since < balancer_delay)
+        return;
+    const bool transactions_end = since >= settings_.shutdown_time / 2;
+    auto next = callers_.begin();
+    while (next != callers_.end()) {
+        const auto it = next->second;
+        ++next;
+        if (transactions_end)
+            it->end_transaction("the process stops");
+        it->close_when_idle();
+    }
+    if (!callers_.empty() && since < settings_.shutdown_time - shutdown_reserve)
+        return;
+    log_event("stopped", {{"sessions", std::to_string(callers_.size())}});
+    timer_.stop();
+    stopped_();
+}
+
+void proxy_task::reload(const proxy_settings &settings)
+{
+    settings_.shutdown_time = settings.shutdown_time;
+    settings_.configuration_bound = settings.configuration_bound;
+    log_event("settings_reloaded");
+}
+
+void proxy_task::answer_admin(const http::server_request &request, http::responder &answer)
+{
+    if (request.path == "/metrics")
+        answer.send({200, metrics_.text(), {}, "text/plain; version=0.0.4"});
+    else if (request.path == "/v1/state")
+        answer.send({200, state_dump(), {}});
+    else
+        answer.send({404, R"({"error":"no such page; /metrics and /v1/state are there"})", {}});
+}
+
+std::string proxy_task::state_dump() const
+{
+    json out{{"process", settings_.process},
+             {"ready", ready()},
+             {"draining", draining_since_.has_value()},
+             {"desired_state_version", routes_.version()},
+             {"sessions", callers_.size()},
+             {"store_calls", store_.calls()},
+             {"groups", json::array()}};
+    for (const auto &[name, group] : groups_) {
+        json members = json::array();
+        for (const auto &it : group->snapshot(clock_type::now()).members)
+            members.push_back({{"instance", it.id}, {"leaving", it.leaving}, {"refuses", it.refuses}});
+        out["groups"].push_back({{"service", name},
+                                 {"primary", group->state().primary().value_or("")},
+                                 {"term", group->state().term()},
+                                 {"members", members}});
+    }
+    return out.dump();
+}
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/proxy_task.h
@@ -0,0 +1,87 @@
+// The proxy process: sessions on one side, groups of instances on the other, the store beside them.
+
+#pragma once
+
+#include "directory/instance_directory.h"
+#include "directory/route_table.h"
+#include "http/http_server.h"
+#include "platform/duty_client.h"
+#include "platform/metadata_client.h"
+#include "proxy/caller_task.h"
+#include "proxy/duty_task.h"
+#include "proxy/failover_task.h"
+#include "proxy/group_task.h"
+#include "proxy/proxy_settings.h"
+#include "proxy/store_tasks.h"
+#include "support/metrics.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+struct event_base;
+struct evconnlistener;
+
+namespace baobabport::proxy {
+
+class proxy_task
+{
+public:
+    /// Time-outs are checked this often: well below the shortest of them.
+    static constexpr std::chrono::milliseconds tick_interval{15};
+    /// The balancer needs two missed probes, a second apart, to stop sending sessions.
+    static constexpr std::chrono::milliseconds balancer_delay{2200};
+    /// Sessions end this long before the process would be killed.
+    static constexpr std::chrono::milliseconds shutdown_reserve{700};
+
+    proxy_task(event_base *base, proxy_settings settings, std::function<void()> stopped);
+    ~proxy_task();
+    proxy_task(const proxy_task &) = delete;
+    proxy_task &operator=(const proxy_task &) = delete;
+
+    /// Stops as planned: no new sessions, then the end of those that are open.
+    void drain();
+
+    /// Takes in settings that changed while the process runs.
+    void reload(const proxy_settings &settings);
+
+private:
+    void listen();
+    void accept(int socket);
+    void apply(directory::desired_state state);
+    void apply(std::vector<directory::instance_record> records);
+    void update_groups();
+    void tick();
+    void tick_drain(time_point now);
+    std::shared_ptr<group_task> group_of(const std::string &service);
+    [[nodiscard]] bool ready() const;
+    [[nodiscard]] std::string state_dump() const;
+    void answer_admin(const http::server_request &request, http::responder &answer);
+    [[nodiscard]] std::uint32_t connection_limit(const std::string &service) const;
+
+    event_base *base_;
+    proxy_settings settings_;
+    std::function<void()> stopped_;
+    support::metrics metrics_;
+    platform::metadata_client store_;
+    directory::route_table routes_;
+    directory::instance_directory instances_;
+    desired_state_task desired_state_;
+    instance_list_task instance_list_;
+    std::optional<platform::duty_client> orders_;
+    std::optional<duty_task> duty_;
+    std::map<std::string, std::shared_ptr<group_task>> groups_;
+    std::map<std::string, std::unique_ptr<failover_task>> failovers_;
+    session_environment environment_;
+    std::map<std::uint64_t, std::shared_ptr<caller_task>> callers_;
+    std::uint64_t last_caller_ = 0;
+    std::optional<http::http_server> probe_;
+    std::optional<http::http_server> admin_;
+    evconnlistener *listener_ = nullptr;
+    inner::timer timer_;
+    std::optional<time_point> draining_since_;
+};
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/settings_file.cpp
@@ -0,0 +1,102 @@
+#include "proxy/settings_file.h"
+
+#include "support/json_fields.h"
+
+#include <charconv>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace baobabport::proxy {
+
+namespace {
+
+void read_address(support::json_fields &fields, const char *name, support::address &out)
+{
+    std::string text;
+    fields.text(name, text, true);
+    if (const auto at = support::parse_address(text))
+        out = *at;
+    else
+        fields.fail(name, '"' + text + '"', "IP:PORT");
+}
+
+void read_optional_address(support::json_fields &fields, const char *name,
+                           std::optional<support::address> &out)
+{
+    std::string text;
+    fields.text(name, text, false);
+    if (text.empty())
+        return;
+    out = support::parse_address(text);
+    if (!out)
+        fields.fail(name, '"' + text + '"', "IP:PORT or nothing");
+}
+
+/// Reads a time given as text, a number of units; the VM may give fractions.
+void read_time(support::json_fields &fields, const char *name, double unit_ms, milliseconds &out)
+{
+    std::string text;
+    fields.text(name, text, false);
+    if (text.empty())
+        return;
+    double value = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    constexpr double longest_ms = 3600.0 * 1000;
+    const double found = value * unit_ms;
+    if (ec != std::errc() || end != text.data() + text.size() || found < 1 || found > longest_ms)
+        fields.fail(name, '"' + text + '"', "a time above 0 and up to an hour, as text");
+    else
+        out = milliseconds(static_cast<std::int64_t>(found));
+}
+
+} // namespace
+
+std::optional<proxy_settings> read_proxy_settings(const std::string &text, std::string &reason)
+{
+    support::field_error syntax;
+    const auto object = support::parse_json_object(text, syntax);
+    if (!object) {
+        reason = syntax.text();
+        return std::nullopt;
+    }
+    std::optional<support::field_error> error;
+    support::json_fields fields(*object, "", error);
+    proxy_settings out;
+    constexpr double ms = 1;
+    constexpr double s = 1000;
+    fields.text("process", out.process, true);
+    fields.text("data_centre", out.data_centre, true);
+    read_address(fields, "callers", out.callers);
+    read_address(fields, "probe", out.probe);
+    read_optional_address(fields, "admin", out.admin);
+    read_address(fields, "store", out.store);
+    read_optional_address(fields, "promotion_orders", out.promotion_orders);
+    read_time(fields, "instance_heartbeat_ms", ms, out.instance_heartbeat);
+    read_time(fields, "shutdown_s", s, out.shutdown_time);
+    read_time(fields, "configuration_bound_ms", ms, out.configuration_bound);
+    fields.finish();
+    if (error) {
+        error->line = support::line_of(text, error->path);
+        reason = error->text();
+        return std::nullopt;
+    }
+    return out;
+}
+
+std::optional<proxy_settings> load_proxy_settings(const std::string &path, std::string &reason)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        reason = path + ": cannot be read";
+        return std::nullopt;
+    }
+    auto out = read_proxy_settings(text.str(), reason);
+    if (!out)
+        reason = path + ": " + reason;
+    return out;
+}
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/statement_run.h
@@ -0,0 +1,147 @@
+// One statement on its way to an instance and back: where it goes, what may be repeated, when it is safe.
+
+#pragma once
+
+#include "directory/desired_state.h"
+#include "proxy/group_task.h"
+#include "session/messages.h"
+#include "session/session_context.h"
+#include "session/statement.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace baobabport::proxy {
+
+/// A transaction of a session, from its begin to its end.
+struct transaction
+{
+    std::shared_ptr<const directory::route> route;
+    std::shared_ptr<group_task> group;
+    bool read_only = false;
+    time_point begun_at;
+
+    // Set by the first statement that needs an instance.
+    std::shared_ptr<instance_pool> pool;
+    instance_pool::connection connection;
+    std::uint64_t term = 0; ///< of the primary it runs at; 0: not at a primary
+    bool forwarded = false; ///< a statement of the caller has run in it
+    bool wrote = false;
+};
+
+/// What a caller's statement came to.
+struct run_result
+{
+    std::vector<std::string> rows;
+    std::string receipt;
+    std::optional<session::failure> error;
+    bool ends_transaction = false;
+    bool fails_transaction = false;
+};
+
+/// What a run needs to know of its statement.
+struct run_request
+{
+    std::string id;
+    std::string text;
+    session::statement parsed;
+    bool writes = false;
+    std::optional<session::prepared_statement> prepared; ///< of an `execute`
+    std::shared_ptr<const directory::route> route;
+    time_point arrived_at;
+};
+
+/**
+ * Runs one statement. Reads are repeated elsewhere when an instance fails them; a write or commit that
+ * went out is never sent again unless the instance says that it has not run.
+ */
+class statement_run : public std::enable_shared_from_this<statement_run>
+{
+public:
+    using done_hook = std::function<void(run_result)>;
+
+    /// Part of a statement's time that it may wait for an instance before it is refused; the rest is
+    /// left to the caller's own repeats, of which two are usual.
+    static constexpr double wait_share = 0.3;
+    /// A commit waits this long for a replica to receive it: several times the usual round trips.
+    static constexpr std::chrono::milliseconds replication_wait{60};
+    /// Taken off a route's staleness, for the time between a read's first byte and its arrival here.
+    static constexpr std::chrono::milliseconds staleness_margin{150};
+    /// Pause before a busy instance is asked again; about one statement's work.
+    static constexpr std::chrono::milliseconds busy_delay{12};
+    /// Instances that one statement is offered to, at most.
+    static constexpr int max_attempts = 8;
+
+    statement_run(event_base *base, run_request request, std::shared_ptr<session::session_context> session,
+                  std::shared_ptr<group_task> group, std::shared_ptr<transaction> within);
+
+    void start(done_hook done);
+
+    /// Ends the run with an answer if its time is over.
+    void tick(time_point now);
+
+    /// The caller is gone: nothing is reported any more.
+    void abandon();
+
+private:
+    enum class stage : std::uint8_t
+    {
+        waiting, ///< nothing has gone to an instance
+        sent,
+        confirming,
+        over,
+    };
+
+    [[nodiscard]] bool needs_primary() const;
+    [[nodiscard]] bool is_commit() const;
+    [[nodiscard]] bool changes_data() const;
+    [[nodiscard]] time_point trusted_since() const;
+    [[nodiscard]] std::optional<position> read_floor() const;
+
+    void choose();
+    void choose_primary();
+    void choose_reader();
+    void acquire(const std::shared_ptr<instance_pool> &pool);
+    void prepare_connection();
+    void send_begin();
+    void send_statement();
+    void take_answer(const std::optional<session::statement_answer> &answer);
+    void take_loss();
+    void take_error(const session::failure &error, const session::prompt &end);
+    void take_success(const session::statement_answer &answer);
+    void confirm(const std::optional<position> &commit, time_point since);
+    void retry(std::chrono::milliseconds delay);
+    void refuse(const char *reason);
+    void fail(session::answer_code code, std::string text);
+    void finish();
+    void give_back_connection();
+
+    event_base *base_;
+    run_request request_;
+    std::shared_ptr<session::session_context> session_;
+    std::shared_ptr<group_task> group_;
+    std::shared_ptr<transaction> within_; ///< null: a statement on its own
+    done_hook done_;
+    stage stage_ = stage::waiting;
+    time_point deadline_;
+    time_point wait_limit_;
+    int attempts_ = 0;
+    std::set<std::string> tried_;
+    std::shared_ptr<instance_pool> pool_;
+    instance_pool::connection connection_;
+    std::uint64_t term_ = 0;
+    bool at_primary_ = false;
+    std::optional<position> floor_;
+    time_point sent_at_;
+    run_result result_;
+    bool abandoned_ = false;
+    std::unique_ptr<inner::timer> retry_timer_;
+};
+
+/// Gives a connection back to its pool, outside any transaction.
+void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it);
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/store_tasks.cpp
@@ -0,0 +1,137 @@
+#include "proxy/store_tasks.h"
+
+#include "platform/record_codec.h"
+#include "support/json_log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabport::proxy {
+
+using platform::call_outcome;
+using support::log_event;
+using support::log_warning;
+
+std::chrono::milliseconds store_backoff::after_failure()
+{
+    const auto out = next_;
+    next_ = std::min(next_ * 2, store_retry_longest);
+    return out;
+}
+
+desired_state_task::desired_state_task(event_base *base, platform::metadata_client &store, state_hook changed)
+    : store_(store), changed_(std::move(changed)), timer_(base, [this] { from_start_ ? read() : watch(); })
+{
+}
+
+void desired_state_task::read()
+{
+    const auto sent = std::chrono::steady_clock::now();
+    store_.read(platform::desired_state_key, store_timeout, [this, sent](const auto &reply) {
+        if (reply.outcome != call_outcome::done || reply.items.empty()) {
+            if (reply.outcome != call_outcome::missing)
+                note_failure(reply);
+            again(true, backoff_.after_failure());
+            return;
+        }
+        confirmed_at_ = sent;
+        revision_ = reply.revision;
+        take(reply.items.front());
+        watch();
+    });
+}
+
+void desired_state_task::watch()
+{
+    const auto sent = std::chrono::steady_clock::now();
+    store_.watch(platform::desired_state_prefix, revision_, watch_time, [this, sent](const auto &reply) {
+        if (reply.outcome == call_outcome::history_gone) {
+            log_event("desired_state_history_gone", {{"revision", std::to_string(revision_)}});
+            again(true, std::chrono::milliseconds(0));
+            return;
+        }
+        if (reply.outcome != call_outcome::done) {
+            note_failure(reply);
+            // A read tells at once what a watch on a bad connection would have missed.
+            again(true, backoff_.after_failure());
+            return;
+        }
+        if (!reachable_)
+            log_event("store_regained", {{"use", "desired state"}});
+        reachable_ = true;
+        confirmed_at_ = sent;
+        backoff_.succeeded();
+        revision_ = std::max(revision_, reply.revision);
+        for (const auto &it : reply.items) {
+            if (it.key == platform::desired_state_key && !it.removed)
+                take(it);
+        }
+        watch();
+    });
+}
+
+void desired_state_task::take(const platform::stored_item &item)
+{
+    std::string reason;
+    auto state = platform::read_desired_state(item.value, reason);
+    if (!state) {
+        log_warning("desired_state_unreadable", {{"reason", reason}});
+        return;
+    }
+    changed_(std::move(*state));
+}
+
+void desired_state_task::again(bool from_start, std::chrono::milliseconds delay)
+{
+    from_start_ = from_start;
+    timer_.start(delay);
+}
+
+void desired_state_task::note_failure(const platform::store_reply &reply)
+{
+    if (reachable_)
+        log_warning("store_lost", {{"use", "desired state"}, {"reason", reply.reason}});
+    reachable_ = false;
+}
+
+instance_list_task::instance_list_task(event_base *base, platform::metadata_client &store, list_hook listed)
+    : store_(store), listed_(std::move(listed)), timer_(base, [this] { list_from({}); })
+{
+}
+
+void instance_list_task::list_from(const std::string &after)
+{
+    if (after.empty())
+        records_.clear();
+    store_.list(platform::instances_prefix, after, store_timeout,
+                [this](const platform::store_reply &reply) { take(reply); });
+}
+
+void instance_list_task::take(const platform::store_reply &reply)
+{
+    if (reply.outcome != call_outcome::done) {
+        timer_.start(backoff_.after_failure());
+        return;
+    }
+    backoff_.succeeded();
+    for (const auto &it : reply.items) {
+        std::string reason;
+        auto record = platform::read_instance_record(it.key, it.value, reason);
+        if (record) {
+            records_.push_back(std::move(*record));
+        } else if (last_bad_entry_ != it.key) {
+            last_bad_entry_ = it.key;
+            log_warning("instance_record_unusable", {{"key", it.key}, {"reason", reason}});
+        }
+    }
+    if (reply.more && !reply.items.empty()) {
+        list_from(reply.items.back().key);
+        return;
+    }
+    const bool empty = records_.empty();
+    listed_(std::move(records_));
+    records_.clear();
+    timer_.start(empty ? first_interval : interval);
+}
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/store_tasks.h
@@ -0,0 +1,105 @@
+// Follows what operators and instances write into the platform's store.
+
+#pragma once
+
+#include "directory/desired_state.h"
+#include "directory/instance_record.h"
+#include "inner/timer.h"
+#include "platform/metadata_client.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+struct event_base;
+
+namespace baobabport::proxy {
+
+/// A call to the store that takes longer has failed; its usual answer takes a few milliseconds.
+inline constexpr std::chrono::milliseconds store_timeout{800};
+
+/// First and longest pause after a failed call. The longest leaves time for a second attempt within the
+/// bound for a changed desired state.
+inline constexpr std::chrono::milliseconds store_retry_first{150};
+inline constexpr std::chrono::milliseconds store_retry_longest{900};
+
+/**
+ * Pauses that double with each failure in a row.
+ */
+class store_backoff
+{
+public:
+    std::chrono::milliseconds after_failure();
+    void succeeded() { next_ = store_retry_first; }
+
+private:
+    std::chrono::milliseconds next_ = store_retry_first;
+};
+
+/**
+ * Keeps the newest desired state by a watch.
+ */
+class desired_state_task
+{
+public:
+    using state_hook = std::function<void(directory::desired_state)>;
+
+    /// One watch waits this long: a silent connection is noticed before the bound for a change is over.
+    static constexpr std::chrono::milliseconds watch_time{1500};
+
+    desired_state_task(event_base *base, platform::metadata_client &store, state_hook changed);
+
+    void start() { read(); }
+
+    /// Returns when the store last said which state is the newest.
+    [[nodiscard]] std::chrono::steady_clock::time_point confirmed_at() const { return confirmed_at_; }
+
+private:
+    void read();
+    void watch();
+    void take(const platform::stored_item &item);
+    void again(bool from_start, std::chrono::milliseconds delay);
+    void note_failure(const platform::store_reply &reply);
+
+    platform::metadata_client &store_;
+    state_hook changed_;
+    inner::timer timer_;
+    store_backoff backoff_;
+    std::uint64_t revision_ = 0;
+    bool from_start_ = true;
+    bool reachable_ = true;
+    std::chrono::steady_clock::time_point confirmed_at_;
+};
+
+/**
+ * Lists the instances' records at an interval.
+ */
+class instance_list_task
+{
+public:
+    using list_hook = std::function<void(std::vector<directory::instance_record>)>;
+
+    /// A leaving instance is known in a fraction of the time that it still serves.
+    static constexpr std::chrono::milliseconds interval{1200};
+    /// Until instances are known, lists are asked for this often.
+    static constexpr std::chrono::milliseconds first_interval{400};
+
+    instance_list_task(event_base *base, platform::metadata_client &store, list_hook listed);
+
+    void start() { list_from({}); }
+
+private:
+    void list_from(const std::string &after);
+    void take(const platform::store_reply &reply);
+
+    platform::metadata_client &store_;
+    list_hook listed_;
+    inner::timer timer_;
+    store_backoff backoff_;
+    std::vector<directory::instance_record> records_; ///< of the listing in progress
+    std::string last_bad_entry_;                      ///< reported once
+};
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/upstream_connection.cpp
@@ -0,0 +1,172 @@
+#include "proxy/upstream_connection.h"
+
+#include "proxy/socket_options.h"
+#include "support/json_log.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <variant>
+
+namespace baobabport::proxy {
+
+namespace {
+
+sockaddr_in socket_address(const support::address &at)
+{
+    sockaddr_in out{};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(at.port);
+    inet_pton(AF_INET, at.ip.c_str(), &out.sin_addr);
+    return out;
+}
+
+} // namespace
+
+upstream_connection::upstream_connection(event_base *base, upstream_target target)
+    : base_(base), target_(std::move(target))
+{
+}
+
+upstream_connection::~upstream_connection()
+{
+    close_socket();
+}
+
+void upstream_connection::open(hooks to)
+{
+    hooks_ = std::move(to);
+    socket_ = bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(socket_, on_read, nullptr, on_event, this);
+    bufferevent_enable(socket_, EV_READ | EV_WRITE);
+    std::string out;
+    platform::write_open(target_.service, target_.caller, target_.instance, out);
+    bufferevent_write(socket_, out.data(), out.size());
+    const auto to_address = socket_address(target_.at);
+    bufferevent_socket_connect(socket_, reinterpret_cast<const sockaddr *>(&to_address), sizeof(to_address));
+    tune_socket(bufferevent_getfd(socket_));
+}
+
+void upstream_connection::send(std::string_view id, std::string_view text, answer_hook done)
+{
+    if (!socket_) {
+        done(std::nullopt);
+        return;
+    }
+    std::string out;
+    platform::write_statement(id, text, out);
+    waiting_.push_back({std::move(done), {}, std::chrono::steady_clock::now()});
+    bufferevent_write(socket_, out.data(), out.size());
+    if (hooks_.sent)
+        hooks_.sent();
+}
+
+void upstream_connection::abandon()
+{
+    hooks_ = {};
+    waiting_.clear();
+    close_socket();
+}
+
+void upstream_connection::on_read(bufferevent *socket, void *self)
+{
+    const auto me = static_cast<upstream_connection *>(self)->shared_from_this();
+    auto *const input = bufferevent_get_input(socket);
+    std::string bytes(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    me->reader_.append(bytes);
+    while (me->socket_) {
+        const auto line = me->reader_.next();
+        if (!line)
+            break;
+        me->take(platform::read_instance_line(*line));
+    }
+    if (me->socket_ && me->reader_.overflowed())
+        me->end(std::nullopt);
+}
+
+void upstream_connection::on_event(bufferevent * /*socket*/, short what, void *self)
+{
+    const auto me = static_cast<upstream_connection *>(self)->shared_from_this();
+    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
+        me->end(me->refusal_);
+}
+
+void upstream_connection::take(const session::instance_message &message)
+{
+    if (const auto *const bad = std::get_if<session::unreadable>(&message)) {
+        support::log_warning("upstream_message_unreadable",
+                             {{"instance", target_.instance}, {"reason", bad->reason}});
+        end(std::nullopt);
+        return;
+    }
+    if (!open_) {
+        if (const auto *const refusal = std::get_if<session::failure>(&message)) {
+            refusal_ = *refusal;
+            end(refusal_);
+        } else if (std::holds_alternative<session::prompt>(message)) {
+            open_ = true;
+            was_open_ = true;
+            if (const auto hook = hooks_.opened)
+                hook();
+        }
+        return;
+    }
+    if (waiting_.empty()) {
+        // A message that answers nothing: what follows on this connection cannot be trusted.
+        end(std::nullopt);
+        return;
+    }
+    auto &first = waiting_.front().answer;
+    if (const auto *const data = std::get_if<session::row>(&message))
+        first.rows.push_back(data->data);
+    else if (const auto *const done = std::get_if<session::success>(&message))
+        first.receipt = done->receipt;
+    else if (const auto *const error = std::get_if<session::failure>(&message))
+        first.error = *error;
+    else if (const auto *const prompt = std::get_if<session::prompt>(&message))
+        take_end_of_answer(*prompt);
+}
+
+void upstream_connection::take_end_of_answer(const session::prompt &end_of_answer)
+{
+    auto first = std::move(waiting_.front());
+    waiting_.pop_front();
+    first.answer.end = end_of_answer;
+    state_ = end_of_answer.state;
+    if (!first.answer.error && first.answer.receipt.empty()) {
+        waiting_.push_front(std::move(first));
+        end(std::nullopt);
+        return;
+    }
+    if (hooks_.answered)
+        hooks_.answered();
+    first.done(first.answer);
+}
+
+void upstream_connection::end(const std::optional<session::failure> &refusal)
+{
+    if (!socket_)
+        return;
+    close_socket();
+    auto unanswered = std::move(waiting_);
+    waiting_.clear();
+    const auto closed = std::move(hooks_.closed);
+    hooks_ = {};
+    for (auto &it : unanswered)
+        it.done(std::nullopt);
+    if (closed)
+        closed(refusal);
+}
+
+void upstream_connection::close_socket()
+{
+    if (socket_)
+        bufferevent_free(socket_);
+    socket_ = nullptr;
+    open_ = false;
+}
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/replication/group_state.cpp
@@ -0,0 +1,121 @@
+#include "replication/group_state.h"
+
+#include <algorithm>
+
+namespace baobabport::replication {
+
+using consistency::instance_role;
+
+confirmation group_state::observe(const std::string &id, const member_report &report, time_point asked_at)
+{
+    reports_[id] = report;
+    if (report.role == instance_role::primary) {
+        if (report.term > term_ || (report.term == term_ && !primary_)) {
+            begin_term(id, report.term);
+            // The reported log may be read before the question's answer only by the primary itself.
+            add_sample(report.received, asked_at);
+        } else if (primary_ == id) {
+            add_sample(report.received, asked_at);
+        } else if (report.term < term_) {
+            return confirmation::contested;
+        }
+        return confirmation::irrelevant;
+    }
+    if (primary_ == id)
+        primary_.reset();
+    if (!primary_)
+        return confirmation::irrelevant;
+    // A pause at or below the present term is left from the promotion that began it.
+    if (report.paused_at > term_ || report.term > term_) {
+        contested_ = true;
+        return confirmation::contested;
+    }
+    contested_ = false;
+    confirmed_at_ = std::max(confirmed_at_, asked_at);
+    if (report.received.term <= term_)
+        replicated_ = std::max(replicated_, report.received);
+    return confirmation::confirmed;
+}
+
+void group_state::observe_applied(const std::string &id, position log)
+{
+    auto &known = applied_[id];
+    known = log;
+}
+
+void group_state::observe_primary_log(const std::string &id, position log, time_point asked_at)
+{
+    if (primary_ == id)
+        add_sample(log, asked_at);
+}
+
+void group_state::reject_primary(const std::string &id)
+{
+    if (primary_ != id)
+        return;
+    primary_.reset();
+    reports_.erase(id);
+}
+
+void group_state::forget(const std::string &id)
+{
+    reports_.erase(id);
+    applied_.erase(id);
+    if (primary_ == id)
+        primary_.reset();
+}
+
+std::optional<position> group_state::floor_at(time_point since) const
+{
+    // The oldest sample that is young enough asks the least of a replica.
+    const auto it = std::lower_bound(samples_.begin(), samples_.end(), since,
+                                     [](const sample &a, time_point b) { return a.asked_at < b; });
+    if (it == samples_.end() || it->asked_at > confirmed_at_)
+        return std::nullopt;
+    return it->log;
+}
+
+std::optional<position> group_state::latest_floor() const
+{
+    return samples_.empty() ? std::nullopt : std::optional(samples_.back().log);
+}
+
+std::optional<position> group_state::applied(const std::string &id) const
+{
+    const auto it = applied_.find(id);
+    if (it == applied_.end())
+        return std::nullopt;
+    return it->second;
+}
+
+const member_report *group_state::report_of(const std::string &id) const
+{
+    const auto it = reports_.find(id);
+    return it == reports_.end() ? nullptr : &it->second;
+}
+
+void group_state::begin_term(const std::string &id, std::uint64_t term)
+{
+    const bool same_term = term == term_;
+    primary_ = id;
+    term_ = term;
+    contested_ = false;
+    if (same_term)
+        return;
+    samples_.clear();
+    replicated_ = {};
+    applied_.clear();
+}
+
+void group_state::add_sample(position log, time_point asked_at)
+{
+    if (!samples_.empty() && asked_at < samples_.back().asked_at)
+        return;
+    if (!samples_.empty() && asked_at - samples_.back().asked_at < sample_interval)
+        return;
+    samples_.push_back({asked_at, log});
+    while (asked_at - samples_.front().asked_at > sample_age)
+        samples_.pop_front();
+}
+
+} // namespace baobabport::replication
--- /dev/null
+++ b/src/session/messages.h
@@ -0,0 +1,86 @@
+// The messages of a session, between a caller and the proxy and between the proxy and an instance.
+
+#pragma once
+
+#include "consistency/position.h"
+#include "session/answer_code.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace baobabport::session {
+
+/// Where a session stands with regard to transactions.
+enum class transaction_state : std::uint8_t
+{
+    none,
+    open,
+    failed, ///< only its end is accepted
+};
+
+/// Opens a session on a database.
+struct open_session
+{
+    std::string database;
+    std::string caller;
+};
+
+/// Asks for one statement.
+struct statement_request
+{
+    std::string id;
+    std::string text;
+};
+
+struct close_session
+{
+};
+
+/// A message that could not be read.
+struct unreadable
+{
+    std::string reason;
+};
+
+using caller_message = std::variant<open_session, statement_request, close_session, unreadable>;
+
+struct row
+{
+    std::string data;
+};
+
+/// Ends a successful answer.
+struct success
+{
+    std::string receipt; ///< the instance's authentication code for this answer
+};
+
+/// Ends an unsuccessful answer.
+struct failure
+{
+    answer_code code = answer_code::failed;
+    std::string text;
+};
+
+/// Ends every answer: the next statement may come.
+struct prompt
+{
+    transaction_state state = transaction_state::none;
+    std::optional<consistency::position> log; ///< what the instance's log had applied
+};
+
+using instance_message = std::variant<row, success, failure, prompt, unreadable>;
+
+/// An instance's whole answer to one statement.
+struct statement_answer
+{
+    std::vector<std::string> rows;
+    std::string receipt;
+    std::optional<failure> error; ///< none: success
+    prompt end;
+};
+
+} // namespace baobabport::session
--- /dev/null
+++ b/src/session/session_context.h
@@ -0,0 +1,69 @@
+// What a session keeps between statements: values, prepared statements and where its commits stand.
+
+#pragma once
+
+#include "consistency/position.h"
+#include "session/statement.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace baobabport::session {
+
+/// A prepared statement, by what it does and not by the name its session gave it.
+struct prepared_statement
+{
+    bool writes = false;
+    std::string shape;
+
+    bool operator==(const prepared_statement &) const = default;
+
+    /// Returns the name that the proxy gives it on every connection.
+    [[nodiscard]] std::string shared_name() const { return (writes ? "w_" : "r_") + shape; }
+};
+
+/// Values by name, as set by a session.
+using session_values = std::map<std::string, std::string>;
+
+/**
+ * The state of one session that outlives its use of any connection.
+ */
+class session_context
+{
+public:
+    /// Values and prepared statements that one session may have; bounds its memory.
+    static constexpr std::size_t max_names = 256;
+
+    /// Sets a value; returns false if the session has too many.
+    bool set_value(const std::string &name, const std::string &value);
+
+    /// Keeps a prepared statement; returns false if the session has too many.
+    bool prepare(const std::string &name, prepared_statement prepared);
+
+    /// Forgets a prepared statement; returns false if there is none of that name.
+    bool close_prepared(const std::string &name);
+
+    /// Returns the prepared statement of that name, or none.
+    [[nodiscard]] const prepared_statement *find_prepared(const std::string &name) const;
+
+    [[nodiscard]] const session_values &values() const { return values_; }
+
+    /// Takes in the log position of a commit of this session.
+    void committed_at(consistency::position log);
+
+    /**
+     * Returns the position that the session's reads need, or none.
+     *
+     * A commit of a term before `primary_term` may have been lost with it, so the caller must then take
+     * the floor from the new primary.
+     */
+    [[nodiscard]] std::optional<consistency::position> own_floor() const { return own_floor_; }
+
+private:
+    session_values values_;
+    std::map<std::string, prepared_statement> prepared_;
+    std::optional<consistency::position> own_floor_;
+};
+
+} // namespace baobabport::session
--- a/src/platform/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -1,10 +1,10 @@
-#include "platform/store_client.h"
+#include "store/store_client.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
 #include <vector>
 
-namespace baobabport::platform {
+namespace baobabport::store {
 
 namespace {
 
@@ -123,4 +123,4 @@
     return impl_->healthy();
 }
 
-} // namespace baobabport::platform
+} // namespace baobabport::store
--- a/src/platform/store_client.h
+++ b/src/store/store_client.h
@@ -14,7 +14,7 @@
 
 struct event_base;
 
-namespace baobabport::platform {
+namespace baobabport::store {
 
 enum class store_outcome : std::uint8_t
 {
@@ -64,4 +64,4 @@
     std::shared_ptr<impl> impl_;
 };
 
-} // namespace baobabport::platform
+} // namespace baobabport::store
--- a/src/platform/vm_list.cpp
+++ b/src/store/vm_list.cpp
@@ -1,10 +1,10 @@
-#include "platform/vm_list.h"
+#include "store/vm_list.h"
 
 #include "support/json_log.h"
 
 #include <nlohmann/json.hpp>
 
-namespace baobabport::platform {
+namespace baobabport::store {
 
 namespace {
 
@@ -53,4 +53,4 @@
     });
 }
 
-} // namespace baobabport::platform
+} // namespace baobabport::store
--- a/src/platform/vm_list.h
+++ b/src/store/vm_list.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "inner/timer.h"
-#include "platform/store_client.h"
+#include "store/store_client.h"
 #include "routing/store_pace.h"
 
 #include <functional>
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace baobabport::platform {
+namespace baobabport::store {
 
 /// Names that the platform says are leaving. What is not named is live.
 struct vm_list
@@ -47,4 +47,4 @@
     std::uint64_t revision_ = 0;
 };
 
-} // namespace baobabport::platform
+} // namespace baobabport::store
