--- a/src/platform/metadata_client.cpp
+++ b/src/platform/metadata_client.cpp
@@ -31,10 +31,10 @@
     out.removed = fields.value("tombstone", false);
     if (out.removed)
         return out;
-    const auto bytes = support::from_base64(fields.at("value").get<std::string>());
-    if (!bytes)
-        throw std::runtime_error("value of " + out.key + " is not base64");
-    out.value = *bytes;
+    // A value that cannot be read is left empty: its reader then reports this item and keeps the others.
+    const auto value = fields.find("value");
+    if (value != fields.end() && value->is_string())
+        out.value = support::from_base64(value->get<std::string>()).value_or("");
     out.lease = fields.value("lease_id", std::uint64_t{0});
     return out;
 }
--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -89,7 +89,8 @@
         });
     };
     return std::make_shared<instance_pool>(
-        base_, upstream_target{record.at, identity_.service, identity_.caller, record.id}, limit,
+        base_, upstream_target{.at = record.at, .service = identity_.service, .instance = record.id, .caller = identity_.caller},
+        limit,
         std::move(evidence));
 }
 
@@ -222,14 +223,16 @@
     found->second.probing = true;
     found->second.probe_sent = now;
     const std::weak_ptr<group_task *> weak = self_;
-    command(id, platform::status_text(), [weak, id](const auto &) {
+    command(id, platform::status_text(), [weak, id](const auto &report) {
         const auto self = weak.lock();
         if (!self)
             return;
         const auto it = (*self)->members_.find(id);
         if (it != (*self)->members_.end())
             it->second.probing = false;
-        (*self)->ask_replicas(clock_type::now());
+        // Without a report the next tick asks again: the failure may have come at once.
+        if (report)
+            (*self)->ask_replicas(clock_type::now());
     });
 }
 
--- a/src/proxy/instance_pool.cpp
+++ b/src/proxy/instance_pool.cpp
@@ -117,7 +117,8 @@
     if (refusal && refusal->code == session::answer_code::connection_limit)
         evidence_.answered(); // it lives; others hold its connections
     else
-        evidence_.failed(refusal ? refusal->text : "connection lost");
+        evidence_.failed(refusal ? "refused with " + std::string(platform::code_word(refusal->code)) + ' ' + refusal->text
+                                 : "connection lost");
     if (all_.empty())
         refuse_waiting(no_connection::unreachable);
 }
