Leases on primaries in place of a question to a replica for each answer

Ruled out: fewer questions by batching alone, since at these rates few answers share one. Change: the holder of the failover duty grants leases by datagram and waits for their end before it replaces a primary; without a lease the replicas are asked as before. Times that guard promises count suspension. A connection with an overdue answer is given up.

--- a/src/failover/switchover.cpp
+++ b/src/failover/switchover.cpp
@@ -93,7 +93,7 @@
 
 std::vector<action> switchover::step_pausing(const group_snapshot &group, time_point now)
 {
-    if (enough_paused(group, now)) {
+    if (group.leases_ended && enough_paused(group, now)) {
         candidate_ = furthest();
         if (candidate_.empty())
             return give_up("no instance can be promoted", now);
--- a/src/failover/switchover.h
+++ b/src/failover/switchover.h
@@ -31,7 +31,8 @@
 {
     std::vector<member_view> members;
     std::optional<std::string> primary;
-    std::uint64_t term = 0; ///< of the last primary seen
+    std::uint64_t term = 0;    ///< of the last primary seen
+    bool leases_ended = true;  ///< no process relies on a lease on the primary
 };
 
 enum class action_kind : std::uint8_t
@@ -73,8 +74,8 @@
     static constexpr milliseconds refusal_limit{350};
     /// A group without a known primary for this long gets one; several rounds of questions.
     static constexpr milliseconds leaderless_limit{800};
-    /// Pauses without answer are given up after this time.
-    static constexpr milliseconds pause_limit{500};
+    /// Pauses without answer, and leases, are waited for this long; above a lease's time.
+    static constexpr milliseconds pause_limit{800};
     /// A promoted instance that does not lead after this time is given up; twice the longest promotion.
     static constexpr milliseconds lead_limit{4000};
     /// A failed replacement is tried again after this time.
--- /dev/null
+++ b/src/inner/lease_messages.cpp
@@ -0,0 +1,85 @@
+#include "inner/lease_messages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace baobabport::inner {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *request_kind = "q";
+constexpr const char *answer_kind = "a";
+
+std::string to_bytes(const json &message)
+{
+    std::string out;
+    json::to_cbor(message, out);
+    return out;
+}
+
+json from_bytes(std::string_view bytes)
+{
+    return json::from_cbor(bytes.begin(), bytes.end(), true, false);
+}
+
+json encode_lease(const primary_lease &it)
+{
+    return {it.service, it.primary, it.term, it.log.term, it.log.offset, it.log_age.count()};
+}
+
+primary_lease decode_lease(const json &fields)
+{
+    primary_lease out;
+    out.service = fields.at(0).get<std::string>();
+    out.primary = fields.at(1).get<std::string>();
+    out.term = fields.at(2).get<std::uint64_t>();
+    out.log.term = fields.at(3).get<std::uint64_t>();
+    out.log.offset = fields.at(4).get<std::uint64_t>();
+    out.log_age = std::chrono::milliseconds(fields.at(5).get<std::int64_t>());
+    return out;
+}
+
+} // namespace
+
+std::string encode(const lease_request &message)
+{
+    return to_bytes({request_kind, message.generation, message.number});
+}
+
+std::string encode(const lease_answer &message)
+{
+    json leases = json::array();
+    for (const auto &it : message.leases)
+        leases.push_back(encode_lease(it));
+    return to_bytes({answer_kind, message.generation, message.number, leases});
+}
+
+std::optional<lease_request> decode_lease_request(std::string_view bytes)
+{
+    try {
+        const auto fields = from_bytes(bytes);
+        if (!fields.is_array() || fields.at(0) != request_kind)
+            return std::nullopt;
+        return lease_request{fields.at(1).get<std::uint64_t>(), fields.at(2).get<std::uint64_t>()};
+    } catch (const json::exception &) {
+        return std::nullopt; // the caller counts what it cannot read
+    }
+}
+
+std::optional<lease_answer> decode_lease_answer(std::string_view bytes)
+{
+    try {
+        const auto fields = from_bytes(bytes);
+        if (!fields.is_array() || fields.at(0) != answer_kind)
+            return std::nullopt;
+        lease_answer out{fields.at(1).get<std::uint64_t>(), fields.at(2).get<std::uint64_t>(), {}};
+        for (const auto &it : fields.at(3))
+            out.leases.push_back(decode_lease(it));
+        return out;
+    } catch (const json::exception &) {
+        return std::nullopt; // the caller counts what it cannot read
+    }
+}
+
+} // namespace baobabport::inner
--- /dev/null
+++ b/src/inner/lease_messages.h
@@ -0,0 +1,51 @@
+// How processes agree that no primary is replaced for a short while: datagrams to the duty's holder.
+
+#pragma once
+
+#include "consistency/position.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace baobabport::inner {
+
+/// Asks the holder of the failover duty for leases on all groups.
+struct lease_request
+{
+    std::uint64_t generation = 0; ///< of the holder that is meant
+    std::uint64_t number = 0;     ///< of the request; comes back with the answer
+};
+
+/// The holder's word that it replaces no primary of the group before the lease ends.
+struct primary_lease
+{
+    std::string service;
+    std::string primary;
+    std::uint64_t term = 0;
+    consistency::position log;            ///< of the primary
+    std::chrono::milliseconds log_age{0}; ///< since the log position was asked for
+};
+
+/**
+ * Answers a request. The leases run from when the request was sent, by the asker's clock, so a slow
+ * answer shortens them.
+ */
+struct lease_answer
+{
+    std::uint64_t generation = 0;
+    std::uint64_t number = 0;
+    std::vector<primary_lease> leases; ///< groups that are not named have none
+};
+
+[[nodiscard]] std::string encode(const lease_request &message);
+[[nodiscard]] std::string encode(const lease_answer &message);
+
+/// Return the message, or none if the bytes are not one.
+[[nodiscard]] std::optional<lease_request> decode_lease_request(std::string_view bytes);
+[[nodiscard]] std::optional<lease_answer> decode_lease_answer(std::string_view bytes);
+
+} // namespace baobabport::inner
--- a/src/proxy/caller_task.cpp
+++ b/src/proxy/caller_task.cpp
@@ -1,6 +1,7 @@
 #include "proxy/caller_task.h"
 
 #include "proxy/socket_options.h"
+#include "support/boot_clock.h"
 #include "support/json_log.h"
 
 #include <event2/buffer.h>
@@ -12,7 +13,7 @@
 
 namespace baobabport::proxy {
 
-using clock_type = std::chrono::steady_clock;
+using clock_type = support::boot_clock;
 using session::answer_code;
 using session::statement_kind;
 using session::transaction_state;
--- a/src/proxy/duty_task.cpp
+++ b/src/proxy/duty_task.cpp
@@ -1,8 +1,10 @@
 #include "proxy/duty_task.h"
 
+#include "failover/lease_grantor.h"
+#include "support/boot_clock.h"
 #include "support/json_log.h"
 
-#include <ctime>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace baobabport::proxy {
@@ -16,26 +18,31 @@
 constexpr const char *holder_key = "baobabport/failover/holder";
 constexpr const char *generation_key = "baobabport/failover/generation";
 
+std::string generation_value(std::uint64_t generation, bool released)
+{
+    return nlohmann::json{{"generation", generation}, {"released", released}}.dump();
+}
+
 } // namespace
 
-duty_task::duty_task(event_base *base, platform::metadata_client &store, std::string vm)
-    : store_(store), vm_(std::move(vm)), timer_(base, [this] { look(); }),
+duty_task::duty_task(event_base *base, platform::metadata_client &store, std::string vm, support::address peer)
+    : store_(store), vm_(std::move(vm)), peer_(std::move(peer)), timer_(base, [this] { look(); }),
       renew_timer_(base, [this] { renew(); })
 {
 }
 
-std::chrono::nanoseconds duty_task::boot_time()
+std::optional<std::uint64_t> duty_task::held(time_point now) const
 {
-    timespec now{};
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+    if (!holding_ || now >= valid_until_ - reserve)
+        return std::nullopt;
+    return generation_;
 }
 
-std::optional<std::uint64_t> duty_task::held(std::chrono::nanoseconds boot_time) const
+std::optional<lease_holder> duty_task::other_holder() const
 {
-    if (!holding_ || boot_time >= valid_until_)
+    if (holding_ || holder_revision_ == 0 || holder_ == vm_)
         return std::nullopt;
-    return generation_;
+    return lease_holder{holder_peer_, generation_};
 }
 
 void duty_task::look()
@@ -53,9 +60,7 @@
         if (holder_revision_ == 0) {
             open_lease();
         } else if (lease_ != 0 && holder_lease_ == lease_ && holder_ == vm_) {
-            holding_ = true; // the answer to taking it was lost
-            valid_until_ = lease_asked_at_ + lease_time;
-            renew();
+            taken(); // the answer to taking it was lost
         } else {
             watch();
         }
@@ -67,13 +72,20 @@
     holder_revision_ = 0;
     holder_.clear();
     for (const auto &it : reply.items) {
+        const auto fields = nlohmann::json::parse(it.value, nullptr, false);
+        if (!fields.is_object()) {
+            support::log_warning("failover_duty_unreadable", {{"key", it.key}});
+            continue;
+        }
         if (it.key == holder_key) {
             holder_revision_ = it.revision;
-            holder_ = it.value;
+            holder_ = fields.value("vm", "");
+            holder_peer_ = support::parse_address(fields.value("peer", "")).value_or(support::address{});
             holder_lease_ = it.lease;
         } else if (it.key == generation_key) {
             generation_revision_ = it.revision;
-            generation_ = std::strtoull(it.value.c_str(), nullptr, 10);
+            generation_ = fields.value("generation", std::uint64_t{0});
+            released_ = fields.value("released", false);
         }
     }
 }
@@ -97,7 +109,7 @@
 void duty_task::open_lease()
 {
     lease_ = 0;
-    const auto asked_at = boot_time();
+    const auto asked_at = support::boot_clock::now();
     store_.open_lease(lease_time, store_timeout, [this, asked_at](const auto &reply) {
         if (reply.outcome != call_outcome::done) {
             again(backoff_.after_failure());
@@ -112,8 +124,9 @@
 void duty_task::take_key()
 {
     platform::key_change change;
+    const nlohmann::json holder{{"vm", vm_}, {"peer", peer_.text()}};
     change.conditions = {{holder_key, 0}, {generation_key, generation_revision_}};
-    change.writes = {{holder_key, vm_, lease_}, {generation_key, std::to_string(generation_ + 1), 0}};
+    change.writes = {{holder_key, holder.dump(), lease_}, {generation_key, generation_value(generation_ + 1, false), 0}};
     store_.change(change, store_timeout, [this](const auto &reply) {
         if (reply.outcome != call_outcome::done) {
             // Another process was first, or the answer is lost: the keys tell.
@@ -121,19 +134,31 @@
                                                           : backoff_.after_failure());
             return;
         }
+        const bool settled = generation_ == 0 || released_; // the first holder ever, or the last one resigned
         ++generation_;
-        holding_ = true;
-        valid_until_ = lease_asked_at_ + lease_time;
-        log_event("failover_duty_taken", {{"generation", std::to_string(generation_)}});
-        renew_timer_.start(renew_interval);
+        taken();
+        generation_revision_ = reply.revision;
+        holder_revision_ = reply.revision;
+        if (settled) // only the leases that the last holder granted are left
+            settled_at_ = support::boot_clock::now() + failover::primary_lease_time;
     });
 }
 
+void duty_task::taken()
+{
+    holding_ = true;
+    valid_until_ = lease_asked_at_ + lease_time;
+    // The last holder may not know yet that its lease was ended before its time.
+    settled_at_ = support::boot_clock::now() + lease_time + failover::primary_lease_time;
+    log_event("failover_duty_taken", {{"generation", std::to_string(generation_)}});
+    renew_timer_.start(renew_interval);
+}
+
 void duty_task::renew()
 {
     if (!holding_ || resigned_)
         return;
-    const auto asked_at = boot_time();
+    const auto asked_at = support::boot_clock::now();
     store_.renew_lease(lease_, store_timeout, [this, asked_at](const auto &reply) {
         if (!holding_ || resigned_)
             return;
@@ -143,7 +168,7 @@
         }
         if (reply.outcome == call_outcome::done)
             valid_until_ = asked_at + lease_time;
-        else if (boot_time() >= valid_until_) {
+        else if (support::boot_clock::now() >= valid_until_) {
             lose("the lease could not be renewed");
             return;
         }
@@ -173,7 +198,11 @@
         return;
     holding_ = false;
     log_event("failover_duty_resigned", {{"generation", std::to_string(generation_)}});
-    store_.end_lease(lease_, store_timeout, [](const auto &) {
+    platform::key_change change;
+    change.conditions = {{holder_key, holder_revision_}};
+    change.writes = {{generation_key, generation_value(generation_, true), 0}};
+    change.removals = {holder_key};
+    store_.change(change, store_timeout, [](const auto &) {
         // An answer changes nothing: without one the lease ends by itself.
     });
 }
--- a/src/proxy/duty_task.h
+++ b/src/proxy/duty_task.h
@@ -4,6 +4,7 @@
 
 #include "inner/timer.h"
 #include "platform/metadata_client.h"
+#include "proxy/lease_task.h"
 #include "proxy/store_tasks.h"
 
 #include <chrono>
@@ -28,25 +29,32 @@
     /// Others notice the end of a lease by a watch of this length.
     static constexpr std::chrono::milliseconds watch_time{4000};
 
-    duty_task(event_base *base, platform::metadata_client &store, std::string vm);
+    duty_task(event_base *base, platform::metadata_client &store, std::string vm, support::address peer);
 
     void start() { look(); }
 
     /// Gives the duty back, so that another process has it at once.
     void resign();
 
+    /// What is begun under the duty may take this long; it is not begun later than that before its end.
+    static constexpr std::chrono::milliseconds reserve{200};
+
     /// Returns the generation while this process holds the duty, or none.
-    [[nodiscard]] std::optional<std::uint64_t> held(std::chrono::nanoseconds boot_time) const;
-    [[nodiscard]] const std::string &vm() const { return vm_; }
+    [[nodiscard]] std::optional<std::uint64_t> held(time_point now) const;
 
-    /// Returns the time since boot, including the time during which the VM was suspended.
-    [[nodiscard]] static std::chrono::nanoseconds boot_time();
+    /// Returns when nothing that an earlier holder began can be in force any more.
+    [[nodiscard]] time_point settled_at() const { return settled_at_; }
+
+    /// Returns the holder, if it is another process.
+    [[nodiscard]] std::optional<lease_holder> other_holder() const;
+    [[nodiscard]] const std::string &vm() const { return vm_; }
 
 private:
     void look();
     void watch();
     void open_lease();
     void take_key();
+    void taken();
     void renew();
     void lose(const char *reason);
     void again(std::chrono::milliseconds delay);
@@ -54,6 +62,7 @@
 
     platform::metadata_client &store_;
     std::string vm_;
+    support::address peer_;
     inner::timer timer_;
     inner::timer renew_timer_;
     store_backoff backoff_;
@@ -61,13 +70,16 @@
     std::uint64_t holder_revision_ = 0;     ///< 0: nobody holds the duty
     std::uint64_t generation_revision_ = 0; ///< 0: there was no holder yet
     std::uint64_t generation_ = 0;          ///< of the last holder known
+    bool released_ = false;                 ///< the last holder gave the duty back
     std::string holder_;
+    support::address holder_peer_;
     std::uint64_t holder_lease_ = 0;
     std::uint64_t lease_ = 0;
     bool holding_ = false;
     bool resigned_ = false;
-    std::chrono::nanoseconds lease_asked_at_{0};
-    std::chrono::nanoseconds valid_until_{0}; ///< by boot time
+    time_point lease_asked_at_;
+    time_point valid_until_;
+    time_point settled_at_;
 };
 
 } // namespace baobabport::proxy
--- a/src/proxy/failover_task.cpp
+++ b/src/proxy/failover_task.cpp
@@ -10,28 +10,26 @@
 using support::log_event;
 
 failover_task::failover_task(std::shared_ptr<group_task> group, platform::duty_client &orders,
-                             const duty_task &duty)
-    : group_(std::move(group)), orders_(orders), duty_(duty)
+                             const duty_task &duty, failover::lease_grantor &grantor)
+    : group_(std::move(group)), orders_(orders), duty_(duty), grantor_(grantor)
 {
 }
 
 void failover_task::tick(time_point now)
 {
-    const auto generation = duty_.held(duty_task::boot_time());
+    const auto generation = duty_.held(now);
     if (!generation) {
         if (decisions_->current() != failover::switchover::phase::idle)
             decisions_ = std::make_shared<failover::switchover>();
         return;
     }
-    const auto snapshot = group_->snapshot(now);
-    if (now - asked_at_ >= watch_interval) {
-        asked_at_ = now;
-        for (const auto &it : snapshot.members)
-            group_->probe(it.id);
-    }
+    auto snapshot = group_->snapshot(now);
+    snapshot.leases_ended = grantor_.ended(group_->identity().service, now);
+    watch(snapshot, now);
     const auto before = decisions_->current();
     for (const auto &it : decisions_->step(snapshot, now))
         carry_out(it, *generation);
+    grant(snapshot, now);
     if (decisions_->current() != before) {
         log_event("failover_step", {{"service", group_->identity().service},
                                     {"phase", std::to_string(static_cast<int>(decisions_->current()))},
@@ -43,6 +41,33 @@
     }
 }
 
+void failover_task::watch(const failover::group_snapshot &snapshot, time_point now)
+{
+    const bool replicas_due = now - replicas_asked_at_ >= replica_interval;
+    if (replicas_due)
+        replicas_asked_at_ = now;
+    for (const auto &it : snapshot.members) {
+        if (snapshot.primary == it.id ? group_->quiet_for(it.id, now) >= watch_interval : replicas_due)
+            group_->probe(it.id);
+    }
+}
+
+void failover_task::grant(const failover::group_snapshot &snapshot, time_point now)
+{
+    const auto &service = group_->identity().service;
+    bool sound = decisions_->current() == failover::switchover::phase::idle && snapshot.primary;
+    for (const auto &it : snapshot.members) {
+        if (snapshot.primary == it.id && (it.leaving || it.silent_for >= lease_silence))
+            sound = false;
+    }
+    grantor_.withhold(service, !sound);
+    const auto own = group_->lease_for_others(now);
+    if (own && grantor_.may_grant(service, now))
+        group_->take_lease(*own, now);
+    else
+        group_->end_lease();
+}
+
 void failover_task::carry_out(const failover::action &what, std::uint64_t generation)
 {
     switch (what.kind) {
@@ -81,7 +106,7 @@
             result = failover::promotion_result::accepted;
         else if (outcome == platform::promotion_outcome::instance_absent)
             result = failover::promotion_result::absent;
-        decisions->promoted(result, std::chrono::steady_clock::now());
+        decisions->promoted(result, support::boot_clock::now());
     });
 }
 
--- a/src/proxy/failover_task.h
+++ b/src/proxy/failover_task.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "failover/lease_grantor.h"
 #include "failover/switchover.h"
 #include "platform/duty_client.h"
 #include "proxy/duty_task.h"
@@ -19,22 +20,31 @@
 public:
     /// An order to promote that takes longer has no answer.
     static constexpr std::chrono::milliseconds order_timeout{1500};
-    /// The duty's holder asks every instance this often, so that silence is noticed without traffic.
-    static constexpr std::chrono::milliseconds watch_interval{250};
+    /// The duty's holder asks a primary that has not answered anything for this long.
+    static constexpr std::chrono::milliseconds watch_interval{400};
+    /// Replicas are asked this often, to find those that were left paused.
+    static constexpr std::chrono::milliseconds replica_interval{5000};
+    /// No lease is granted on a primary that has been silent for this long: leases then end before the
+    /// silence suffices to replace it.
+    static constexpr std::chrono::milliseconds lease_silence{150};
 
-    failover_task(std::shared_ptr<group_task> group, platform::duty_client &orders, const duty_task &duty);
+    failover_task(std::shared_ptr<group_task> group, platform::duty_client &orders, const duty_task &duty,
+                  failover::lease_grantor &grantor);
 
     void tick(time_point now);
 
 private:
+    void watch(const failover::group_snapshot &snapshot, time_point now);
+    void grant(const failover::group_snapshot &snapshot, time_point now);
     void carry_out(const failover::action &what, std::uint64_t generation);
     void promote(const std::string &instance, std::uint64_t generation);
 
     std::shared_ptr<group_task> group_;
     platform::duty_client &orders_;
     const duty_task &duty_;
+    failover::lease_grantor &grantor_;
     std::shared_ptr<failover::switchover> decisions_ = std::make_shared<failover::switchover>();
-    time_point asked_at_;
+    time_point replicas_asked_at_;
 };
 
 } // namespace baobabport::proxy
--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -1,12 +1,13 @@
 #include "proxy/group_task.h"
 
+#include "support/boot_clock.h"
 #include "support/json_log.h"
 
 #include <algorithm>
 
 namespace baobabport::proxy {
 
-using clock_type = std::chrono::steady_clock;
+using clock_type = support::boot_clock;
 using consistency::instance_role;
 using support::log_event;
 
@@ -75,6 +76,7 @@
     evidence.answered = [with_member] {
         with_member([](member &it) {
             it.unanswered_since.reset();
+            it.answered_at = clock_type::now();
             it.refuses = false;
         });
     };
@@ -146,6 +148,13 @@
         done(true);
         return;
     }
+    if (leased(clock_type::now())) {
+        state_.confirm_by_lease(lease_term_, clock_type::now());
+        if (condition()) {
+            done(true);
+            return;
+        }
+    }
     conditions_.push_back({std::move(condition), give_up_at, std::move(done)});
     ask_replicas(clock_type::now());
 }
@@ -154,10 +163,49 @@
 {
     confirmations_.push_back({request, std::move(done)});
     const auto now = clock_type::now();
+    if (leased(now))
+        state_.confirm_by_lease(lease_term_, now);
     review_confirmations(now);
     ask_replicas(now);
 }
 
+bool group_task::leased(time_point now) const
+{
+    return now < lease_until_ && lease_term_ == state_.term();
+}
+
+void group_task::take_lease(const inner::primary_lease &lease, time_point asked_at)
+{
+    if (!members_.count(lease.primary))
+        return; // it is not listed yet
+    const auto former = state_.primary();
+    state_.adopt_primary(lease.primary, lease.term, lease.log, asked_at - lease.log_age);
+    if (state_.primary() != former)
+        log_event("primary_known", {{"service", identity_.service},
+                                    {"instance", lease.primary},
+                                    {"term", std::to_string(lease.term)},
+                                    {"source", "lease"}});
+    if (state_.primary() == lease.primary && state_.term() == lease.term) {
+        lease_term_ = lease.term;
+        lease_until_ = std::max(lease_until_, asked_at + failover::primary_lease_time);
+    }
+    review(clock_type::now());
+}
+
+std::optional<inner::primary_lease> group_task::lease_for_others(time_point now) const
+{
+    const auto sample = state_.latest_sample();
+    if (!state_.primary() || state_.contested() || !sample)
+        return std::nullopt;
+    inner::primary_lease out;
+    out.service = identity_.service;
+    out.primary = *state_.primary();
+    out.term = state_.term();
+    out.log = sample->log;
+    out.log_age = std::chrono::ceil<std::chrono::milliseconds>(now - sample->asked_at);
+    return out;
+}
+
 void group_task::note_answer(const std::string &id, const session::prompt &end, time_point sent_at)
 {
     if (!end.log)
@@ -166,6 +214,13 @@
     state_.observe_primary_log(id, *end.log, sent_at);
 }
 
+std::chrono::milliseconds group_task::quiet_for(const std::string &id, time_point now) const
+{
+    const auto it = members_.find(id);
+    const auto since = it == members_.end() ? time_point{} : it->second.answered_at;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - since);
+}
+
 void group_task::reject_primary(const std::string &id)
 {
     if (state_.primary() == id)
@@ -196,6 +251,7 @@
             return;
         }
         const auto asked_at = clock_type::now();
+        connection->give_up_at = asked_at + probe_timeout;
         connection->send(platform::own_statement_id, text,
                          [weak, id, pool, connection, asked_at, done](const auto &answer) {
             std::optional<replication::member_report> report;
@@ -259,6 +315,8 @@
 
 void group_task::review(time_point now)
 {
+    if (leased(now))
+        state_.confirm_by_lease(lease_term_, now);
     review_confirmations(now);
     review_conditions(now);
 }
@@ -270,11 +328,9 @@
     for (auto it = confirmations_.begin(); it != confirmations_.end();) {
         const auto &request = it->request;
         std::optional<confirmation_result> result;
-        const bool replicated =
-            !request.commit || *request.commit <= state_.replicated() || now >= request.replicated_by;
         if (state_.term() > request.term)
             result = confirmation_result::superseded;
-        else if (state_.primary() && state_.confirmed_at() >= request.since && replicated)
+        else if (state_.primary() && state_.confirmed_at() >= request.since)
             result = confirmation_result::confirmed;
         else if (now >= request.give_up_at)
             result = confirmation_result::expired;
@@ -312,9 +368,7 @@
     }
     const auto cost = [this, now](const std::string &id) {
         const auto &it = members_.at(id);
-        const auto *const report = state_.report_of(id);
-        const bool behind = report && report->received < state_.replicated();
-        return (it.record.data_centre == identity_.data_centre ? 0 : 1) + (behind ? 2 : 0) +
+        return (it.record.data_centre == identity_.data_centre ? 0 : 1) +
                (now < it.distrusted_until || !it.pool->reachable(now) ? 4 : 0);
     };
     std::stable_sort(out.begin(), out.end(),
@@ -331,7 +385,7 @@
         probe(*state_.primary());
     bool wanted = floor_stale;
     for (const auto &it : confirmations_)
-        wanted = wanted || state_.confirmed_at() < it.request.since || it.request.commit;
+        wanted = wanted || state_.confirmed_at() < it.request.since;
     if (!wanted)
         return;
     for (const auto &id : replicas_by_preference(now)) {
@@ -362,7 +416,7 @@
         return;
     probe(*state_.primary());
     const auto replicas = replicas_by_preference(now);
-    if (!replicas.empty())
+    if (!replicas.empty() && !leased(now))
         probe(replicas.front());
 }
 
--- a/src/proxy/group_task.h
+++ b/src/proxy/group_task.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include "directory/instance_record.h"
+#include "failover/lease_grantor.h"
 #include "failover/switchover.h"
+#include "inner/lease_messages.h"
 #include "proxy/instance_pool.h"
 #include "replication/group_state.h"
 
@@ -24,10 +26,8 @@
 /// What an answer of the primary waits for before it goes to its caller.
 struct confirmation_request
 {
-    time_point since;               ///< a question asked at this time or later must confirm the primary
-    std::uint64_t term = 0;         ///< of the primary that answered
-    std::optional<position> commit; ///< a replica should have received this
-    time_point replicated_by;       ///< until then, that is waited for
+    time_point since;       ///< a question asked at this time or later must confirm the primary
+    std::uint64_t term = 0; ///< of the primary that answered
     time_point give_up_at;
 };
 
@@ -97,9 +97,21 @@
 
     void confirm(const confirmation_request &request, std::function<void(confirmation_result)> done);
 
+    /// Takes in that no primary of the group is replaced before the lease ends.
+    void take_lease(const inner::primary_lease &lease, time_point asked_at);
+
+    /// Returns the lease that others may have from this process, or none if no primary is trusted.
+    [[nodiscard]] std::optional<inner::primary_lease> lease_for_others(time_point now) const;
+
+    /// Ends this process's own lease, before it replaces the primary itself.
+    void end_lease() { lease_until_ = {}; }
+
     /// Takes in the log position and time of an answer to a caller's statement.
     void note_answer(const std::string &id, const session::prompt &end, time_point sent_at);
 
+    /// Returns how long ago the instance last answered anything.
+    [[nodiscard]] std::chrono::milliseconds quiet_for(const std::string &id, time_point now) const;
+
     /// Takes in that the instance refused to act as primary.
     void reject_primary(const std::string &id);
     void distrust(const std::string &id, time_point now);
@@ -121,6 +133,7 @@
         directory::instance_record record;
         std::shared_ptr<instance_pool> pool;
         std::optional<time_point> unanswered_since;
+        time_point answered_at;
         time_point distrusted_until;
         time_point probe_sent;
         bool probing = false;
@@ -140,6 +153,7 @@
 
     std::shared_ptr<instance_pool> make_pool(const directory::instance_record &record, std::uint32_t limit);
     void review(time_point now);
+    [[nodiscard]] bool leased(time_point now) const;
     void review_confirmations(time_point now);
     void review_conditions(time_point now);
     void ask_replicas(time_point now);
@@ -155,6 +169,8 @@
     std::list<waiting_confirmation> confirmations_;
     std::list<condition_waiter> conditions_;
     time_point floor_wanted_at_;
+    time_point lease_until_;
+    std::uint64_t lease_term_ = 0;
     time_point searched_at_;
     std::shared_ptr<group_task *> self_; ///< callbacks hold it weakly: they may outlive the group
 };
--- a/src/proxy/instance_pool.cpp
+++ b/src/proxy/instance_pool.cpp
@@ -1,12 +1,13 @@
 #include "proxy/instance_pool.h"
 
+#include "support/boot_clock.h"
 #include "support/json_log.h"
 
 #include <algorithm>
 
 namespace baobabport::proxy {
 
-using clock_type = std::chrono::steady_clock;
+using clock_type = support::boot_clock;
 
 instance_pool::instance_pool(event_base *base, upstream_target target, std::uint32_t limit,
                              evidence_hooks evidence)
@@ -188,6 +189,7 @@
         drop(it);
     }
     end_slow_attempts(now);
+    end_silent(now);
     open_for_waiting();
     for (const auto &it : late)
         it(nullptr, no_connection::waited_too_long);
@@ -209,6 +211,17 @@
         refuse_waiting(no_connection::unreachable);
 }
 
+void instance_pool::end_silent(time_point now)
+{
+    std::vector<connection> silent;
+    for (const auto &it : all_) {
+        if (it->is_open() && it->unanswered() > 0 && now >= it->give_up_at)
+            silent.push_back(it);
+    }
+    for (const auto &it : silent)
+        it->end_without_answer();
+}
+
 void instance_pool::retire()
 {
     retired_ = true;
--- a/src/proxy/instance_pool.h
+++ b/src/proxy/instance_pool.h
@@ -105,6 +105,7 @@
     [[nodiscard]] std::size_t opening() const;
     void open_for_waiting();
     void end_slow_attempts(time_point now);
+    void end_silent(time_point now);
     void on_closed(upstream_connection *which, const std::optional<session::failure> &refusal);
     void serve();
     void refuse_waiting(no_connection reason);
--- /dev/null
+++ b/src/proxy/lease_task.cpp
@@ -0,0 +1,99 @@
+#include "proxy/lease_task.h"
+
+#include "support/boot_clock.h"
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <stdexcept>
+#include <string>
+#include <sys/socket.h>
+#include <utility>
+
+namespace baobabport::proxy {
+
+namespace {
+
+constexpr std::size_t max_datagram = 8192; ///< bytes; a group takes about 60
+
+sockaddr_in to_sockaddr(const support::address &at)
+{
+    sockaddr_in out{};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(at.port);
+    inet_pton(AF_INET, at.ip.c_str(), &out.sin_addr);
+    return out;
+}
+
+} // namespace
+
+lease_task::lease_task(event_base *base, const support::address &at, hooks to) : hooks_(std::move(to))
+{
+    socket_ = socket(AF_INET, SOCK_DGRAM, 0);
+    const auto address = to_sockaddr(at);
+    if (socket_ < 0 || evutil_make_socket_nonblocking(socket_) != 0 ||
+        bind(socket_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0)
+        throw std::runtime_error("cannot bind the datagram socket to " + at.text());
+    readable_ = event_new(base, socket_, EV_READ | EV_PERSIST, on_readable, this);
+    event_add(readable_, nullptr);
+}
+
+lease_task::~lease_task()
+{
+    event_free(readable_);
+    evutil_closesocket(socket_);
+}
+
+void lease_task::tick(time_point now)
+{
+    if (now - asked_at_ < renew_interval)
+        return;
+    const auto holder = hooks_.holder();
+    if (!holder)
+        return;
+    asked_at_ = now;
+    const auto number = ++last_number_;
+    sent_[number % remembered] = {number, now};
+    const auto bytes = inner::encode(inner::lease_request{holder->generation, number});
+    const auto to = to_sockaddr(holder->at);
+    // A datagram that cannot be sent is like one that is lost: the next one follows soon.
+    sendto(socket_, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr *>(&to), sizeof(to));
+}
+
+void lease_task::on_readable(int /*socket*/, short /*what*/, void *self)
+{
+    static_cast<lease_task *>(self)->receive();
+}
+
+void lease_task::receive()
+{
+    std::string buf(max_datagram, '\0');
+    sockaddr_in from{};
+    socklen_t length = sizeof(from);
+    const auto n = recvfrom(socket_, buf.data(), buf.size(), 0, reinterpret_cast<sockaddr *>(&from), &length);
+    if (n <= 0)
+        return;
+    const std::string_view bytes(buf.data(), static_cast<std::size_t>(n));
+    if (const auto request = inner::decode_lease_request(bytes)) {
+        const auto answer = hooks_.grant(*request);
+        if (!answer)
+            return;
+        const auto out = inner::encode(*answer);
+        sendto(socket_, out.data(), out.size(), 0, reinterpret_cast<const sockaddr *>(&from), length);
+    } else if (const auto answer = inner::decode_lease_answer(bytes)) {
+        take_answer(*answer);
+    } else {
+        ++unreadable_;
+    }
+}
+
+void lease_task::take_answer(const inner::lease_answer &answer)
+{
+    const auto &request = sent_[answer.number % remembered];
+    if (request.number != answer.number || answer.number == 0)
+        return;
+    hooks_.granted(answer, request.at);
+}
+
+} // namespace baobabport::proxy
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -1,5 +1,6 @@
 #include "proxy/proxy_task.h"
 
+#include "support/boot_clock.h"
 #include "support/json_log.h"
 
 #include <algorithm>
@@ -12,7 +13,7 @@
 
 namespace baobabport::proxy {
 
-using clock_type = std::chrono::steady_clock;
+using clock_type = support::boot_clock;
 using nlohmann::json;
 using support::log_event;
 
@@ -39,10 +40,14 @@
     environment_ = {base_, &routes_, &metrics_, [this](const auto &service) { return group_of(service); }};
     if (settings_.promotion_orders) {
         orders_.emplace(base_, *settings_.promotion_orders);
-        duty_.emplace(base_, store_, settings_.process);
+        duty_.emplace(base_, store_, settings_.process, settings_.peers);
         duty_->start();
     }
     listen();
+    leases_.emplace(base_, settings_.peers,
+                    lease_task::hooks{[this] { return duty_ ? duty_->other_holder() : std::nullopt; },
+                                      [this](const auto &request) { return grant(request); },
+                                      [this](const auto &answer, auto at) { take_leases(answer, at); }});
     desired_state_.start();
     instance_list_.start();
     timer_.repeat(tick_interval);
@@ -137,7 +142,7 @@
             base_, group_identity{service, settings_.process, settings_.data_centre});
         group->set_members(instances_.of_service(service), connection_limit(service));
         if (duty_ && orders_)
-            failovers_[service] = std::make_unique<failover_task>(group, *orders_, *duty_);
+            failovers_[service] = std::make_unique<failover_task>(group, *orders_, *duty_, grantor_);
     }
     return group;
 }
@@ -150,6 +155,8 @@
 void proxy_task::tick()
 {
     const auto now = clock_type::now();
+    tick_duty(now);
+    leases_->tick(now);
     for (const auto &it : groups_)
         it.second->tick(now);
     for (const auto &it : failovers_)
@@ -164,6 +171,42 @@
         tick_drain(now);
 }
 
+void proxy_task::tick_duty(time_point now)
+{
+    const auto held = duty_ ? duty_->held(now) : std::nullopt;
+    if (!held || held == granting_)
+        return;
+    granting_ = held;
+    grantor_.begin(duty_->settled_at());
+}
+
+std::optional<inner::lease_answer> proxy_task::grant(const inner::lease_request &request)
+{
+    const auto now = clock_type::now();
+    const auto held = duty_ ? duty_->held(now) : std::nullopt;
+    if (!held || held != granting_ || *held != request.generation)
+        return std::nullopt;
+    inner::lease_answer out{*held, request.number, {}};
+    for (const auto &[service, group] : groups_) {
+        group->want_floor(now);
+        const auto lease = group->lease_for_others(now);
+        if (!lease || !grantor_.may_grant(service, now))
+            continue;
+        grantor_.note_grant(service, now);
+        out.leases.push_back(*lease);
+    }
+    return out;
+}
+
+void proxy_task::take_leases(const inner::lease_answer &answer, time_point asked_at)
+{
+    for (const auto &it : answer.leases) {
+        const auto group = groups_.find(it.service);
+        if (group != groups_.end())
+            group->second->take_lease(it, asked_at);
+    }
+}
+
 void proxy_task::drain()
 {
     if (draining_since_)
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -11,6 +11,7 @@
 #include "proxy/duty_task.h"
 #include "proxy/failover_task.h"
 #include "proxy/group_task.h"
+#include "proxy/lease_task.h"
 #include "proxy/proxy_settings.h"
 #include "proxy/store_tasks.h"
 #include "support/metrics.h"
@@ -55,6 +56,9 @@
     void update_groups();
     void tick();
     void tick_drain(time_point now);
+    void tick_duty(time_point now);
+    std::optional<inner::lease_answer> grant(const inner::lease_request &request);
+    void take_leases(const inner::lease_answer &answer, time_point asked_at);
     std::shared_ptr<group_task> group_of(const std::string &service);
     [[nodiscard]] bool ready() const;
     [[nodiscard]] std::string state_dump() const;
@@ -72,6 +76,9 @@
     instance_list_task instance_list_;
     std::optional<platform::duty_client> orders_;
     std::optional<duty_task> duty_;
+    failover::lease_grantor grantor_;
+    std::optional<std::uint64_t> granting_; ///< the last generation that `grantor_` was begun for
+    std::optional<lease_task> leases_;
     std::map<std::string, std::shared_ptr<group_task>> groups_;
     std::map<std::string, std::unique_ptr<failover_task>> failovers_;
     session_environment environment_;
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -1,5 +1,6 @@
 #include "proxy/statement_run.h"
 
+#include "support/boot_clock.h"
 #include "support/json_log.h"
 
 #include <algorithm>
@@ -7,7 +8,7 @@
 
 namespace baobabport::proxy {
 
-using clock_type = std::chrono::steady_clock;
+using clock_type = support::boot_clock;
 using directory::route_kind;
 using session::answer_code;
 using session::statement_kind;
@@ -30,6 +31,7 @@
         pool->release(it);
         return;
     }
+    it->give_up_at = support::boot_clock::now() + statement_run::late_answer;
     it->send(platform::own_statement_id, platform::rollback_text(), [pool, it](const auto &answer) {
         if (answer && answer->end.state == transaction_state::none)
             pool->release(it);
@@ -99,8 +101,8 @@
     if (own->term == state.term())
         return std::max(*floor, *own);
     // Of an earlier term: the new primary's log says what was kept of it.
-    const auto latest = state.latest_floor();
-    return latest ? std::optional(std::max(*floor, *latest)) : std::nullopt;
+    const auto latest = state.latest_sample();
+    return latest ? std::optional(std::max(*floor, latest->log)) : std::nullopt;
 }
 
 void statement_run::choose()
@@ -188,6 +190,7 @@
 {
     const auto self = shared_from_this();
     auto &it = *connection_;
+    it.give_up_at = deadline_ + late_answer;
     const bool in_transaction = it.state() != transaction_state::none;
     struct progress
     {
@@ -273,6 +276,7 @@
         text = platform::at_least_text(*floor_, text);
     stage_ = stage::sent;
     ++attempts_;
+    connection_->give_up_at = deadline_ + late_answer;
     sent_at_ = clock_type::now();
     connection_->send(request_.id, text,
                       [self = shared_from_this()](const auto &answer) { self->take_answer(answer); });
@@ -354,27 +358,24 @@
     if (changes_data()) {
         if (answer.end.log)
             session_->committed_at(*answer.end.log);
-        confirm(answer.end.log, clock_type::now());
+        confirm(clock_type::now());
         return;
     }
     if (at_primary_ && !request_.writes) {
-        confirm(std::nullopt, trusted_since());
+        confirm(trusted_since());
         return;
     }
     finish();
 }
 
-void statement_run::confirm(const std::optional<position> &commit, time_point since)
+void statement_run::confirm(time_point since)
 {
     // The connection is free while the answer waits.
     if (!within_ || is_commit())
         give_back_connection();
-    const auto now = clock_type::now();
     confirmation_request request;
     request.since = since;
     request.term = term_;
-    request.commit = commit;
-    request.replicated_by = now + replication_wait;
     request.give_up_at = deadline_;
     group_->confirm(request, [self = shared_from_this()](confirmation_result result) {
         if (self->stage_ != stage::confirming || self->abandoned_)
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -66,8 +66,8 @@
     /// Part of a statement's time that it may wait for an instance before it is refused; the rest is
     /// left to the caller's own repeats, of which two are usual.
     static constexpr double wait_share = 0.3;
-    /// A commit waits this long for a replica to receive it: several times the usual round trips.
-    static constexpr std::chrono::milliseconds replication_wait{60};
+    /// An answer may come this much after its statement's time before its connection is given up.
+    static constexpr std::chrono::milliseconds late_answer{500};
     /// Taken off a route's staleness, for the time between a read's first byte and its arrival here.
     static constexpr std::chrono::milliseconds staleness_margin{150};
     /// Pause before a busy instance is asked again; about one statement's work.
@@ -112,7 +112,7 @@
     void take_loss();
     void take_error(const session::failure &error, const session::prompt &end);
     void take_success(const session::statement_answer &answer);
-    void confirm(const std::optional<position> &commit, time_point since);
+    void confirm(time_point since);
     void retry(std::chrono::milliseconds delay);
     void refuse(const char *reason);
     void fail(session::answer_code code, std::string text);
--- a/src/proxy/store_tasks.cpp
+++ b/src/proxy/store_tasks.cpp
@@ -1,6 +1,7 @@
 #include "proxy/store_tasks.h"
 
 #include "platform/record_codec.h"
+#include "support/boot_clock.h"
 #include "support/json_log.h"
 
 #include <algorithm>
@@ -26,7 +27,7 @@
 
 void desired_state_task::read()
 {
-    const auto sent = std::chrono::steady_clock::now();
+    const auto sent = support::boot_clock::now();
     store_.read(platform::desired_state_key, store_timeout, [this, sent](const auto &reply) {
         if (reply.outcome != call_outcome::done || reply.items.empty()) {
             if (reply.outcome != call_outcome::missing)
@@ -43,7 +44,7 @@
 
 void desired_state_task::watch()
 {
-    const auto sent = std::chrono::steady_clock::now();
+    const auto sent = support::boot_clock::now();
     store_.watch(platform::desired_state_prefix, revision_, watch_time, [this, sent](const auto &reply) {
         if (reply.outcome == call_outcome::history_gone) {
             log_event("desired_state_history_gone", {{"revision", std::to_string(revision_)}});
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -57,7 +57,7 @@
     }
     std::string out;
     platform::write_statement(id, text, out);
-    waiting_.push_back({std::move(done), {}, std::chrono::steady_clock::now()});
+    waiting_.push_back({std::move(done), {}, support::boot_clock::now()});
     bufferevent_write(socket_, out.data(), out.size());
     if (hooks_.sent)
         hooks_.sent();
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -5,6 +5,7 @@
 #include "platform/line_codec.h"
 #include "session/messages.h"
 #include "session/session_context.h"
+#include "support/boot_clock.h"
 #include "support/address.h"
 
 #include <chrono>
@@ -61,6 +62,9 @@
     /// Sends a statement behind those that wait for their answers.
     void send(std::string_view id, std::string_view text, answer_hook done);
 
+    /// Ends the connection as if the instance had; statements without an answer are reported as lost.
+    void end_without_answer() { end(std::nullopt); }
+
     /// Ends the connection; an open transaction rolls back. Reports nothing.
     void abandon();
 
@@ -77,6 +81,9 @@
     /// Returns where the connection stood after its last answer.
     [[nodiscard]] session::transaction_state state() const { return state_; }
 
+    /// When a statement that has no answer by then makes the connection worthless.
+    time_point give_up_at;
+
     /// What earlier users left on the connection.
     session::session_values values;
     std::set<std::string> prepared; ///< by shared name
@@ -107,7 +114,7 @@
     bool open_ = false;
     bool was_open_ = false;
     session::transaction_state state_ = session::transaction_state::none;
-    time_point created_at_ = std::chrono::steady_clock::now();
+    time_point created_at_ = support::boot_clock::now();
 };
 
 } // namespace baobabport::proxy
--- a/src/replication/group_state.cpp
+++ b/src/replication/group_state.cpp
@@ -32,11 +32,25 @@
     }
     contested_ = false;
     confirmed_at_ = std::max(confirmed_at_, asked_at);
-    if (report.received.term <= term_)
-        replicated_ = std::max(replicated_, report.received);
     return confirmation::confirmed;
 }
 
+void group_state::confirm_by_lease(std::uint64_t term, time_point now)
+{
+    if (!primary_ || term != term_)
+        return;
+    contested_ = false;
+    confirmed_at_ = std::max(confirmed_at_, now);
+}
+
+void group_state::adopt_primary(const std::string &id, std::uint64_t term, position log, time_point asked_at)
+{
+    if (term > term_ || (term == term_ && !primary_))
+        begin_term(id, term);
+    if (term == term_ && primary_ == id)
+        add_sample(log, asked_at);
+}
+
 void group_state::observe_applied(const std::string &id, position log)
 {
     auto &known = applied_[id];
@@ -75,9 +89,9 @@
     return it->log;
 }
 
-std::optional<position> group_state::latest_floor() const
+std::optional<group_state::sample> group_state::latest_sample() const
 {
-    return samples_.empty() ? std::nullopt : std::optional(samples_.back().log);
+    return samples_.empty() ? std::nullopt : std::optional(samples_.back());
 }
 
 std::optional<position> group_state::applied(const std::string &id) const
@@ -103,7 +117,6 @@
     if (same_term)
         return;
     samples_.clear();
-    replicated_ = {};
     applied_.clear();
 }
 
--- a/src/replication/group_state.h
+++ b/src/replication/group_state.h
@@ -40,6 +40,12 @@
     /// Takes in an instance's report on a question asked at that time.
     confirmation observe(const std::string &id, const member_report &report, time_point asked_at);
 
+    /// Takes in that no primary of the term is replaced before `now`.
+    void confirm_by_lease(std::uint64_t term, time_point now);
+
+    /// Takes in the primary of a term as the holder of the failover duty sees it, and its log position.
+    void adopt_primary(const std::string &id, std::uint64_t term, position log, time_point asked_at);
+
     /// Takes in how far an instance's log was applied when it answered a statement.
     void observe_applied(const std::string &id, position log);
 
@@ -64,14 +70,18 @@
     /// Returns true while a replica was last seen paused or of a later term.
     [[nodiscard]] bool contested() const { return contested_; }
 
-    /// Returns the highest position that some replica has received in the present term.
-    [[nodiscard]] position replicated() const { return replicated_; }
-
     /// Returns a position that holds every commit acknowledged before `since`, or none.
     [[nodiscard]] std::optional<position> floor_at(time_point since) const;
 
+    /// A position of the primary's log, and when it was asked for.
+    struct sample
+    {
+        time_point asked_at;
+        position log;
+    };
+
     /// Returns the newest position that the present primary showed, or none.
-    [[nodiscard]] std::optional<position> latest_floor() const;
+    [[nodiscard]] std::optional<sample> latest_sample() const;
 
     /// Returns how far the instance's log is known to be applied, or none.
     [[nodiscard]] std::optional<position> applied(const std::string &id) const;
@@ -80,12 +90,6 @@
     [[nodiscard]] const member_report *report_of(const std::string &id) const;
 
 private:
-    struct sample
-    {
-        time_point asked_at;
-        position log;
-    };
-
     void begin_term(const std::string &id, std::uint64_t term);
     void add_sample(position log, time_point asked_at);
 
@@ -95,7 +99,6 @@
     std::uint64_t term_ = 0; ///< never falls
     time_point confirmed_at_;
     bool contested_ = false;
-    position replicated_;
     std::deque<sample> samples_; ///< oldest first, of the present term's primary
 };
 
