A standing holder of the failover duty, and paced questions

Cause: without the store the duty's holder stepped down, so every process asked replicas again and no primary could be replaced; a new holder paused replicas long before it was allowed to promote. Change: the holder goes on while no process it has heard lately reaches the store; replicas are paused only once nothing of an earlier holder can be in force; the duty's lease is shorter; questions are paced.

--- a/src/directory/instance_record.h
+++ b/src/directory/instance_record.h
@@ -25,9 +25,9 @@
     support::address at;
     instance_state state = instance_state::ready;
     consistency::instance_role role = consistency::instance_role::replica; ///< as it sees itself
-    std::uint32_t slots = 1;                   ///< statements it runs at the same time
-    std::chrono::milliseconds warm_up{0};      ///< it stays slow for this long
-    std::chrono::milliseconds started_at{0};   ///< since the Unix epoch; another value is another process
+    std::uint32_t slots = 1;                 ///< statements it runs at the same time
+    std::chrono::milliseconds warm_up{0};    ///< it stays slow for this long
+    std::chrono::milliseconds started_at{0}; ///< since the Unix epoch; another value is another process
 };
 
 } // namespace baobabport::directory
--- a/src/entry/entry_task.h
+++ b/src/entry/entry_task.h
@@ -10,11 +10,11 @@
 #include "http/operator_server.h"
 #include "inner/pooler_links.h"
 #include "inner/timer.h"
-#include "store/store_client.h"
-#include "store/vm_list.h"
 #include "routing/forward_decision.h"
 #include "routing/home_selector.h"
 #include "settings/process_settings.h"
+#include "store/store_client.h"
+#include "store/vm_list.h"
 #include "support/metrics.h"
 
 #include <functional>
--- a/src/failover/switchover.cpp
+++ b/src/failover/switchover.cpp
@@ -41,7 +41,7 @@
 
 std::vector<action> switchover::step_idle(const group_snapshot &group, time_point now)
 {
-    if (now < retry_at_)
+    if (now < retry_at_ || !group.settled)
         return {};
     if (!should_replace(group, now))
         return resume_orphans(group, now);
@@ -51,9 +51,9 @@
 
 bool switchover::should_replace(const group_snapshot &group, time_point now)
 {
-    const bool has_replica = std::any_of(group.members.begin(), group.members.end(), [&group](const auto &it) {
-        return group.primary != it.id && it.report && !it.leaving;
-    });
+    const bool has_replica =
+        std::any_of(group.members.begin(), group.members.end(),
+                    [&group](const auto &it) { return group.primary != it.id && it.report && !it.leaving; });
     const auto *const primary = group.primary ? find(group, *group.primary) : nullptr;
     if (!has_replica)
         return false;
@@ -192,8 +192,7 @@
 {
     const auto *const former = find(group, former_);
     const bool yielded = !former || former->refuses || !former->report ||
-                         former->report->role == instance_role::replica ||
-                         now - entered_at_ >= yield_time;
+                         former->report->role == instance_role::replica || now - entered_at_ >= yield_time;
     bool resumed = true;
     std::vector<action> out;
     if (!repeat_due(now))
--- a/src/inner/lease_messages.cpp
+++ b/src/inner/lease_messages.cpp
@@ -44,7 +44,7 @@
 
 std::string encode(const lease_request &message)
 {
-    return to_bytes({request_kind, message.generation, message.number});
+    return to_bytes({request_kind, message.generation, message.number, message.store_silent_for.count()});
 }
 
 std::string encode(const lease_answer &message)
@@ -61,7 +61,8 @@
         const auto fields = from_bytes(bytes);
         if (!fields.is_array() || fields.at(0) != request_kind)
             return std::nullopt;
-        return lease_request{fields.at(1).get<std::uint64_t>(), fields.at(2).get<std::uint64_t>()};
+        return lease_request{fields.at(1).get<std::uint64_t>(), fields.at(2).get<std::uint64_t>(),
+                             std::chrono::milliseconds(fields.at(3).get<std::int64_t>())};
     } catch (const json::exception &) {
         return std::nullopt; // the caller counts what it cannot read
     }
--- a/src/inner/lease_messages.h
+++ b/src/inner/lease_messages.h
@@ -18,6 +18,7 @@
 {
     std::uint64_t generation = 0; ///< of the holder that is meant
     std::uint64_t number = 0;     ///< of the request; comes back with the answer
+    std::chrono::milliseconds store_silent_for{0}; ///< since the store last answered the asker
 };
 
 /// The holder's word that it replaces no primary of the group before the lease ends.
--- a/src/platform/line_codec.h
+++ b/src/platform/line_codec.h
@@ -13,7 +13,7 @@
 namespace baobabport::platform {
 
 /// A message longer than this ends the connection; from the protocol's description.
-inline constexpr std::size_t max_message = 1024 * 1024;
+inline constexpr std::size_t max_message = std::size_t{1024} * 1024;
 
 /// The id of statements that the proxy sends for itself.
 inline constexpr const char *own_statement_id = "-";
--- a/src/platform/metadata_client.cpp
+++ b/src/platform/metadata_client.cpp
@@ -1,7 +1,9 @@
 #include "platform/metadata_client.h"
 
+#include "support/boot_clock.h"
 #include "support/keys.h"
 
+#include <algorithm>
 #include <event2/http.h>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -103,6 +105,7 @@
     void send(const http::client_request &request, reply_hook done)
     {
         ++calls_;
+        const auto sent_at = support::boot_clock::now();
         std::shared_ptr<http::http_client> client;
         if (idle_.empty()) {
             client = std::make_shared<http::http_client>(base_, at_);
@@ -111,23 +114,28 @@
             idle_.pop_back();
         }
         auto *const raw = client.get();
-        raw->send(request, [self = weak_from_this(), client, done = std::move(done)](const auto &answer) {
+        raw->send(request, [self = weak_from_this(), client, sent_at, done = std::move(done)](const auto &answer) {
             const auto me = self.lock();
             if (!me)
                 return;
             if (answer.failure == http::client_failure::none && me->idle_.size() < max_idle)
                 me->idle_.push_back(client);
-            done(read_reply(answer));
+            const auto reply = read_reply(answer);
+            if (reply.outcome != call_outcome::no_answer && reply.outcome != call_outcome::refused)
+                me->served_at_ = std::max(me->served_at_, sent_at);
+            done(reply);
         });
     }
 
     [[nodiscard]] std::uint64_t calls() const { return calls_; }
+    [[nodiscard]] std::chrono::steady_clock::time_point served_at() const { return served_at_; }
 
 private:
     event_base *base_;
     support::address at_;
     std::vector<std::shared_ptr<http::http_client>> idle_;
     std::uint64_t calls_ = 0;
+    std::chrono::steady_clock::time_point served_at_;
 };
 
 metadata_client::metadata_client(event_base *base, support::address at)
@@ -191,6 +199,11 @@
     impl_->send({http::method_kind::remove, path, {}, {}, timeout}, std::move(done));
 }
 
+std::chrono::steady_clock::time_point metadata_client::served_at() const
+{
+    return impl_->served_at();
+}
+
 std::uint64_t metadata_client::calls() const
 {
     return impl_->calls();
--- a/src/platform/metadata_client.h
+++ b/src/platform/metadata_client.h
@@ -98,6 +98,9 @@
 
     [[nodiscard]] std::uint64_t calls() const;
 
+    /// Returns when the last call that the store served was sent.
+    [[nodiscard]] std::chrono::steady_clock::time_point served_at() const;
+
 private:
     class impl;
     std::shared_ptr<impl> impl_;
--- a/src/platform/record_codec.h
+++ b/src/platform/record_codec.h
@@ -23,7 +23,6 @@
  * Returns the instance's record, or none and the reason. `key` is the one that it is stored under.
  */
 std::optional<directory::instance_record> read_instance_record(const std::string &key,
-                                                               const std::string &value,
-                                                               std::string &reason);
+                                                               const std::string &value, std::string &reason);
 
 } // namespace baobabport::platform
--- a/src/pooler/document_task.h
+++ b/src/pooler/document_task.h
@@ -4,8 +4,8 @@
 
 #include "document/document_holder.h"
 #include "inner/timer.h"
-#include "store/store_client.h"
 #include "routing/store_pace.h"
+#include "store/store_client.h"
 
 #include <functional>
 #include <string>
--- a/src/pooler/pooler_task.h
+++ b/src/pooler/pooler_task.h
@@ -6,12 +6,12 @@
 #include "inner/pooler_links.h"
 #include "inner/stream_connection.h"
 #include "inner/timer.h"
-#include "store/store_client.h"
-#include "store/vm_list.h"
 #include "pooler/document_task.h"
 #include "pooler/home_task.h"
 #include "routing/home_ranking.h"
 #include "settings/process_settings.h"
+#include "store/store_client.h"
+#include "store/vm_list.h"
 #include "support/metrics.h"
 
 #include <functional>
--- a/src/programs/proxy_main.cpp
+++ b/src/programs/proxy_main.cpp
@@ -63,7 +63,8 @@
             else
                 support::log_warning("settings_refused", {{"reason", why}});
         };
-        programs::run_until_stopped(base, [&task] { task.drain(); }, reload);
+        programs::run_until_stopped(
+            base, [&task] { task.drain(); }, reload);
     } catch (const std::runtime_error &ec) {
         support::log_warning("cannot_start", {{"reason", ec.what()}});
         return programs::exit_cannot_start;
--- a/src/proxy/caller_task.cpp
+++ b/src/proxy/caller_task.cpp
@@ -240,8 +240,8 @@
         request.writes = prepared->writes;
     }
     const auto group = transaction_ ? transaction_->group : environment_.group_of(request.route->service);
-    run_ = std::make_shared<statement_run>(environment_.base, std::move(request), session_, group,
-                                           transaction_);
+    run_ =
+        std::make_shared<statement_run>(environment_.base, std::move(request), session_, group, transaction_);
     const std::weak_ptr<caller_task> weak = weak_from_this();
     const auto run = run_; // it may end before `start` returns
     run->start([weak, id = message.id](run_result result) {
--- a/src/proxy/caller_task.h
+++ b/src/proxy/caller_task.h
@@ -37,7 +37,7 @@
     /// A caller that has not named its database by then is cut off.
     static constexpr std::chrono::milliseconds open_timeout{5000};
     /// Bytes that a caller may leave unread before its statements wait.
-    static constexpr std::size_t max_unread = 4 * 1024 * 1024;
+    static constexpr std::size_t max_unread = std::size_t{4} * 1024 * 1024;
 
     caller_task(const session_environment &environment, int socket, std::uint64_t number,
                 std::function<void(std::uint64_t)> ended);
--- a/src/proxy/duty_task.cpp
+++ b/src/proxy/duty_task.cpp
@@ -25,7 +25,8 @@
 
 } // namespace
 
-duty_task::duty_task(event_base *base, platform::metadata_client &store, std::string vm, support::address peer)
+duty_task::duty_task(event_base *base, platform::metadata_client &store, std::string vm,
+                     support::address peer)
     : store_(store), vm_(std::move(vm)), peer_(std::move(peer)), timer_(base, [this] { look(); }),
       renew_timer_(base, [this] { renew(); })
 {
@@ -33,7 +34,15 @@
 
 std::optional<std::uint64_t> duty_task::held(time_point now) const
 {
-    if (!holding_ || now >= valid_until_ - reserve)
+    if (!holding_ || (now >= valid_until_ - reserve && !store_is_down_(now)))
+        return std::nullopt;
+    return generation_;
+}
+
+std::optional<std::uint64_t> duty_task::may_grant(time_point now) const
+{
+    const auto renewed_at = valid_until_ - lease_time;
+    if (!holding_ || (now >= renewed_at + grant_time && !store_is_down_(now)))
         return std::nullopt;
     return generation_;
 }
@@ -126,7 +135,8 @@
     platform::key_change change;
     const nlohmann::json holder{{"vm", vm_}, {"peer", peer_.text()}};
     change.conditions = {{holder_key, 0}, {generation_key, generation_revision_}};
-    change.writes = {{holder_key, holder.dump(), lease_}, {generation_key, generation_value(generation_ + 1, false), 0}};
+    change.writes = {{holder_key, holder.dump(), lease_},
+                     {generation_key, generation_value(generation_ + 1, false), 0}};
     store_.change(change, store_timeout, [this](const auto &reply) {
         if (reply.outcome != call_outcome::done) {
             // Another process was first, or the answer is lost: the keys tell.
@@ -149,7 +159,7 @@
     holding_ = true;
     valid_until_ = lease_asked_at_ + lease_time;
     // The last holder may not know yet that its lease was ended before its time.
-    settled_at_ = support::boot_clock::now() + lease_time + failover::primary_lease_time;
+    settled_at_ = support::boot_clock::now() + grant_time + failover::primary_lease_time;
     log_event("failover_duty_taken", {{"generation", std::to_string(generation_)}});
     renew_timer_.start(renew_interval);
 }
@@ -168,10 +178,6 @@
         }
         if (reply.outcome == call_outcome::done)
             valid_until_ = asked_at + lease_time;
-        else if (support::boot_clock::now() >= valid_until_) {
-            lose("the lease could not be renewed");
-            return;
-        }
         renew_timer_.start(reply.outcome == call_outcome::done ? renew_interval : store_retry_first);
     });
 }
--- a/src/proxy/duty_task.h
+++ b/src/proxy/duty_task.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -24,8 +25,11 @@
 {
 public:
     /// The duty passes on this long after its holder's last renewal; several renewals may fail first.
-    static constexpr std::chrono::milliseconds lease_time{2400};
-    static constexpr std::chrono::milliseconds renew_interval{700};
+    static constexpr std::chrono::milliseconds lease_time{1800};
+    static constexpr std::chrono::milliseconds renew_interval{400};
+    /// Leases on primaries are granted only this long after a renewal was sent, since a lease may be ended
+    /// before its time.
+    static constexpr std::chrono::milliseconds grant_time{1000};
     /// Others notice the end of a lease by a watch of this length.
     static constexpr std::chrono::milliseconds watch_time{4000};
 
@@ -42,6 +46,12 @@
     /// Returns the generation while this process holds the duty, or none.
     [[nodiscard]] std::optional<std::uint64_t> held(time_point now) const;
 
+    /// Returns the generation while this process holds the duty beyond any doubt of others.
+    [[nodiscard]] std::optional<std::uint64_t> may_grant(time_point now) const;
+
+    /// Sets the judgement whether the store is down for all processes, so that nobody can follow.
+    void on_store_down(std::function<bool(time_point)> judge) { store_is_down_ = std::move(judge); }
+
     /// Returns when nothing that an earlier holder began can be in force any more.
     [[nodiscard]] time_point settled_at() const { return settled_at_; }
 
@@ -77,6 +87,7 @@
     std::uint64_t lease_ = 0;
     bool holding_ = false;
     bool resigned_ = false;
+    std::function<bool(time_point)> store_is_down_ = [](time_point) { return false; };
     time_point lease_asked_at_;
     time_point valid_until_;
     time_point settled_at_;
--- a/src/proxy/failover_task.cpp
+++ b/src/proxy/failover_task.cpp
@@ -24,6 +24,7 @@
         return;
     }
     auto snapshot = group_->snapshot(now);
+    snapshot.settled = now >= duty_.settled_at();
     snapshot.leases_ended = grantor_.ended(group_->identity().service, now);
     watch(snapshot, now);
     const auto before = decisions_->current();
@@ -62,7 +63,7 @@
     }
     grantor_.withhold(service, !sound);
     const auto own = group_->lease_for_others(now);
-    if (own && grantor_.may_grant(service, now))
+    if (own && duty_.may_grant(now) && grantor_.may_grant(service, now))
         group_->take_lease(*own, now);
     else
         group_->end_lease();
--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -91,9 +91,10 @@
         });
     };
     return std::make_shared<instance_pool>(
-        base_, upstream_target{.at = record.at, .service = identity_.service, .instance = record.id, .caller = identity_.caller},
-        limit,
-        std::move(evidence));
+        base_,
+        upstream_target{
+            .at = record.at, .service = identity_.service, .instance = record.id, .caller = identity_.caller},
+        limit, std::move(evidence));
 }
 
 std::shared_ptr<instance_pool> group_task::primary_pool() const
@@ -111,10 +112,10 @@
 {
     // A round trip between data centres costs bytes and time; about that of two statements in front.
     constexpr double other_data_centre = 2.0;
-    constexpr double behind = 8.0;     // a log that was seen short of the floor answers nothing
+    constexpr double behind = 8.0; // a log that was seen short of the floor answers nothing
     constexpr double distrusted = 20.0;
     constexpr double leaving = 10.0;
-    constexpr double leads = 1.0;      // the primary has work that nobody else can do
+    constexpr double leads = 1.0; // the primary has work that nobody else can do
     std::shared_ptr<instance_pool> best;
     double best_cost = 0;
     for (const auto &[id, it] : members_) {
@@ -254,19 +255,19 @@
         connection->give_up_at = asked_at + probe_timeout;
         connection->send(platform::own_statement_id, text,
                          [weak, id, pool, connection, asked_at, done](const auto &answer) {
-            std::optional<replication::member_report> report;
-            if (answer && !answer->error && !answer->rows.empty())
-                report = platform::read_member_report(answer->rows.front());
-            const auto self = weak.lock();
-            if (answer)
-                pool->release(connection);
-            if (self && report) {
-                if (answer->end.log)
-                    (*self)->state_.observe_applied(id, *answer->end.log);
-                (*self)->take_report(id, *report, asked_at);
-            }
-            done(report);
-        });
+                             std::optional<replication::member_report> report;
+                             if (answer && !answer->error && !answer->rows.empty())
+                                 report = platform::read_member_report(answer->rows.front());
+                             const auto self = weak.lock();
+                             if (answer)
+                                 pool->release(connection);
+                             if (self && report) {
+                                 if (answer->end.log)
+                                     (*self)->state_.observe_applied(id, *answer->end.log);
+                                 (*self)->take_report(id, *report, asked_at);
+                             }
+                             done(report);
+                         });
     });
 }
 
@@ -381,6 +382,11 @@
     const bool floor_stale = !conditions_.empty();
     if (confirmations_.empty() && !floor_stale)
         return;
+    // While a promotion is under way, the search for the primary asks everyone.
+    const bool searching = state_.contested() || !state_.primary();
+    if (now - confirmations_asked_at_ < (searching ? search_interval : confirm_interval))
+        return;
+    confirmations_asked_at_ = now;
     if (floor_stale && state_.primary())
         probe(*state_.primary());
     bool wanted = floor_stale;
@@ -444,7 +450,8 @@
         view.leaving = it.record.state == directory::instance_state::draining;
         view.refuses = it.refuses;
         if (it.unanswered_since)
-            view.silent_for = std::chrono::duration_cast<std::chrono::milliseconds>(now - *it.unanswered_since);
+            view.silent_for =
+                std::chrono::duration_cast<std::chrono::milliseconds>(now - *it.unanswered_since);
         if (const auto *const report = state_.report_of(id))
             view.report = *report;
         out.members.push_back(std::move(view));
--- a/src/proxy/group_task.h
+++ b/src/proxy/group_task.h
@@ -69,6 +69,8 @@
     static constexpr std::chrono::milliseconds search_interval{60};
     /// While reads need a floor, it is at most this old; half of the shortest staleness in use.
     static constexpr std::chrono::milliseconds floor_refresh{500};
+    /// Confirmations are asked for at this interval at most, so that many answers share one question.
+    static constexpr std::chrono::milliseconds confirm_interval{10};
     /// Floors are kept fresh this long after the last read that needed one.
     static constexpr std::chrono::milliseconds floor_demand{2000};
 
@@ -87,7 +89,8 @@
     [[nodiscard]] std::shared_ptr<instance_pool> pool_of(const std::string &id) const;
 
     /// Returns the pool that suits the read best, or null.
-    [[nodiscard]] std::shared_ptr<instance_pool> choose_for_read(const read_needs &needs, time_point now) const;
+    [[nodiscard]] std::shared_ptr<instance_pool> choose_for_read(const read_needs &needs,
+                                                                 time_point now) const;
 
     /// Calls the hook with true once the condition holds, or with false at `give_up_at`.
     void wait_until(std::function<bool()> condition, time_point give_up_at, std::function<void(bool)> done);
@@ -172,6 +175,7 @@
     time_point lease_until_;
     std::uint64_t lease_term_ = 0;
     time_point searched_at_;
+    time_point confirmations_asked_at_;
     std::shared_ptr<group_task *> self_; ///< callbacks hold it weakly: they may outlive the group
 };
 
--- a/src/proxy/instance_pool.cpp
+++ b/src/proxy/instance_pool.cpp
@@ -102,15 +102,14 @@
 
 void instance_pool::on_closed(upstream_connection *which, const std::optional<session::failure> &refusal)
 {
-    const auto found = std::find_if(all_.begin(), all_.end(), [which](const auto &it) {
-        return it.get() == which;
-    });
+    const auto found =
+        std::find_if(all_.begin(), all_.end(), [which](const auto &it) { return it.get() == which; });
     if (found == all_.end())
         return;
     const auto kept = *found; // until this function ends
     all_.erase(found);
-    const auto idle = std::find_if(idle_.begin(), idle_.end(),
-                                   [which](const auto &it) { return it.it.get() == which; });
+    const auto idle =
+        std::find_if(idle_.begin(), idle_.end(), [which](const auto &it) { return it.it.get() == which; });
     if (idle != idle_.end())
         idle_.erase(idle);
     if (!kept->was_open())
@@ -118,7 +117,8 @@
     if (refusal && refusal->code == session::answer_code::connection_limit)
         evidence_.answered(); // it lives; others hold its connections
     else
-        evidence_.failed(refusal ? "refused with " + std::string(platform::code_word(refusal->code)) + ' ' + refusal->text
+        evidence_.failed(refusal ? "refused with " + std::string(platform::code_word(refusal->code)) + ' ' +
+                                       refusal->text
                                  : "connection lost");
     if (all_.empty())
         refuse_waiting(no_connection::unreachable);
@@ -147,9 +147,8 @@
     while (!idle_.empty()) {
         auto chosen = idle_.end() - 1;
         if (values) {
-            const auto same = std::find_if(idle_.begin(), idle_.end(), [values](const auto &it) {
-                return it.it->values == *values;
-            });
+            const auto same = std::find_if(idle_.begin(), idle_.end(),
+                                           [values](const auto &it) { return it.it->values == *values; });
             if (same != idle_.end())
                 chosen = same;
         }
@@ -185,7 +184,8 @@
             idle_too_long.push_back(idle_[n].it);
     }
     for (const auto &it : idle_too_long) {
-        idle_.erase(std::find_if(idle_.begin(), idle_.end(), [&it](const auto &idle) { return idle.it == it; }));
+        idle_.erase(
+            std::find_if(idle_.begin(), idle_.end(), [&it](const auto &idle) { return idle.it == it; }));
         drop(it);
     }
     end_slow_attempts(now);
--- a/src/proxy/instance_pool.h
+++ b/src/proxy/instance_pool.h
@@ -25,8 +25,8 @@
 /// What a request for a connection looks for.
 struct connection_request
 {
-    std::uint32_t priority = 0;             ///< 0 is served first
-    time_point give_up_at;                  ///< refused when it still waits then
+    std::uint32_t priority = 0;                            ///< 0 is served first
+    time_point give_up_at;                                 ///< refused when it still waits then
     std::shared_ptr<const session::session_values> values; ///< a connection that has them is preferred
 };
 
@@ -118,7 +118,7 @@
     evidence_hooks evidence_;
     std::vector<idle_connection> idle_;
     std::vector<connection> all_; ///< open or opening
-    std::list<waiter> waiting_;  ///< in order of arrival
+    std::list<waiter> waiting_;   ///< in order of arrival
     time_point retry_at_;
     ticket last_ticket_ = 0;
     bool retired_ = false;
--- a/src/proxy/lease_task.cpp
+++ b/src/proxy/lease_task.cpp
@@ -26,6 +26,13 @@
     return out;
 }
 
+support::address from_sockaddr(const sockaddr_in &from)
+{
+    std::string ip(INET_ADDRSTRLEN, '\0');
+    inet_ntop(AF_INET, &from.sin_addr, ip.data(), static_cast<socklen_t>(ip.size()));
+    return {ip.c_str(), ntohs(from.sin_port)};
+}
+
 } // namespace
 
 lease_task::lease_task(event_base *base, const support::address &at, hooks to) : hooks_(std::move(to))
@@ -55,7 +62,7 @@
     asked_at_ = now;
     const auto number = ++last_number_;
     sent_[number % remembered] = {number, now};
-    const auto bytes = inner::encode(inner::lease_request{holder->generation, number});
+    const auto bytes = inner::encode(inner::lease_request{holder->generation, number, hooks_.store_silent_for()});
     const auto to = to_sockaddr(holder->at);
     // A datagram that cannot be sent is like one that is lost: the next one follows soon.
     sendto(socket_, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr *>(&to), sizeof(to));
@@ -76,7 +83,7 @@
         return;
     const std::string_view bytes(buf.data(), static_cast<std::size_t>(n));
     if (const auto request = inner::decode_lease_request(bytes)) {
-        const auto answer = hooks_.grant(*request);
+        const auto answer = hooks_.grant(*request, from_sockaddr(from));
         if (!answer)
             return;
         const auto out = inner::encode(*answer);
--- a/src/proxy/lease_task.h
+++ b/src/proxy/lease_task.h
@@ -39,7 +39,10 @@
         /// Returns the holder to ask, or none: it is not known or is this process.
         std::function<std::optional<lease_holder>()> holder;
         /// Returns the answer to a request, or none if this process is not the holder meant.
-        std::function<std::optional<inner::lease_answer>(const inner::lease_request &)> grant;
+        std::function<std::optional<inner::lease_answer>(const inner::lease_request &, const support::address &from)>
+            grant;
+        /// Returns for how long the store has not answered this process.
+        std::function<std::chrono::milliseconds()> store_silent_for;
         std::function<void(const inner::lease_answer &, time_point asked_at)> granted;
     };
 
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -41,12 +41,14 @@
     if (settings_.promotion_orders) {
         orders_.emplace(base_, *settings_.promotion_orders);
         duty_.emplace(base_, store_, settings_.process, settings_.peers);
+        duty_->on_store_down([this](time_point now) { return census_.store_is_down(store_silence(now), now); });
         duty_->start();
     }
     listen();
     leases_.emplace(base_, settings_.peers,
                     lease_task::hooks{[this] { return duty_ ? duty_->other_holder() : std::nullopt; },
-                                      [this](const auto &request) { return grant(request); },
+                                      [this](const auto &request, const auto &from) { return grant(request, from); },
+                                      [this] { return store_silence(clock_type::now()); },
                                       [this](const auto &answer, auto at) { take_leases(answer, at); }});
     desired_state_.start();
     instance_list_.start();
@@ -68,9 +70,9 @@
     inet_pton(AF_INET, settings_.callers.ip.c_str(), &at.sin_addr);
     static std::function<void(int)> accept_hook; // the listener's callback takes a plain pointer
     accept_hook = [this](int socket) { accept(socket); };
-    listener_ = evconnlistener_new_bind(base_, on_accept, &accept_hook,
-                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listen_backlog,
-                                        reinterpret_cast<const sockaddr *>(&at), sizeof(at));
+    listener_ =
+        evconnlistener_new_bind(base_, on_accept, &accept_hook, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                listen_backlog, reinterpret_cast<const sockaddr *>(&at), sizeof(at));
     if (!listener_)
         throw std::runtime_error("cannot listen on " + settings_.callers.text());
     probe_.emplace(base_, settings_.probe, max_admin_body, [this](const auto &, const auto &answer) {
@@ -85,9 +87,8 @@
 void proxy_task::accept(int socket)
 {
     const auto number = ++last_caller_;
-    auto it = std::make_shared<caller_task>(environment_, socket, number, [this](std::uint64_t ended) {
-        callers_.erase(ended);
-    });
+    auto it = std::make_shared<caller_task>(environment_, socket, number,
+                                            [this](std::uint64_t ended) { callers_.erase(ended); });
     callers_.emplace(number, it);
     it->start();
 }
@@ -180,10 +181,17 @@
     grantor_.begin(duty_->settled_at());
 }
 
-std::optional<inner::lease_answer> proxy_task::grant(const inner::lease_request &request)
+milliseconds proxy_task::store_silence(time_point now) const
+{
+    return std::chrono::duration_cast<milliseconds>(now - store_.served_at());
+}
+
+std::optional<inner::lease_answer> proxy_task::grant(const inner::lease_request &request,
+                                                     const support::address &from)
 {
     const auto now = clock_type::now();
-    const auto held = duty_ ? duty_->held(now) : std::nullopt;
+    census_.heard(from, request.store_silent_for, now);
+    const auto held = duty_ ? duty_->may_grant(now) : std::nullopt;
     if (!held || held != granting_ || *held != request.generation)
         return std::nullopt;
     inner::lease_answer out{*held, request.number, {}};
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -4,6 +4,7 @@
 
 #include "directory/instance_directory.h"
 #include "directory/route_table.h"
+#include "failover/peer_census.h"
 #include "http/http_server.h"
 #include "platform/duty_client.h"
 #include "platform/metadata_client.h"
@@ -57,7 +58,9 @@
     void tick();
     void tick_drain(time_point now);
     void tick_duty(time_point now);
-    std::optional<inner::lease_answer> grant(const inner::lease_request &request);
+    std::optional<inner::lease_answer> grant(const inner::lease_request &request,
+                                             const support::address &from);
+    [[nodiscard]] milliseconds store_silence(time_point now) const;
     void take_leases(const inner::lease_answer &answer, time_point asked_at);
     std::shared_ptr<group_task> group_of(const std::string &service);
     [[nodiscard]] bool ready() const;
@@ -77,6 +80,7 @@
     std::optional<platform::duty_client> orders_;
     std::optional<duty_task> duty_;
     failover::lease_grantor grantor_;
+    failover::peer_census census_;
     std::optional<std::uint64_t> granting_; ///< the last generation that `grantor_` was begun for
     std::optional<lease_task> leases_;
     std::map<std::string, std::shared_ptr<group_task>> groups_;
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -40,7 +40,8 @@
     });
 }
 
-statement_run::statement_run(event_base *base, run_request request, std::shared_ptr<session::session_context> session,
+statement_run::statement_run(event_base *base, run_request request,
+                             std::shared_ptr<session::session_context> session,
                              std::shared_ptr<group_task> group, std::shared_ptr<transaction> within)
     : base_(base), request_(std::move(request)), session_(std::move(session)), group_(std::move(group)),
       within_(std::move(within)), deadline_(request_.arrived_at + request_.route->statement_timeout),
@@ -117,20 +118,19 @@
 {
     const auto self = shared_from_this();
     const auto group = group_;
-    group_->wait_until(
-        [group] { return group->primary_pool() && !group->state().contested(); }, wait_limit_,
-        [self](bool known) {
-            if (self->stage_ != stage::waiting || self->abandoned_)
-                return;
-            const auto pool = self->group_->primary_pool();
-            if (!known || !pool) {
-                self->refuse("no primary is known");
-                return;
-            }
-            self->at_primary_ = true;
-            self->term_ = self->group_->state().term();
-            self->acquire(pool);
-        });
+    group_->wait_until([group] { return group->primary_pool() && !group->state().contested(); }, wait_limit_,
+                       [self](bool known) {
+                           if (self->stage_ != stage::waiting || self->abandoned_)
+                               return;
+                           const auto pool = self->group_->primary_pool();
+                           if (!known || !pool) {
+                               self->refuse("no primary is known");
+                               return;
+                           }
+                           self->at_primary_ = true;
+                           self->term_ = self->group_->state().term();
+                           self->acquire(pool);
+                       });
 }
 
 void statement_run::choose_reader()
@@ -142,7 +142,8 @@
             const auto me = weak.lock();
             return !me || me->read_floor().has_value();
         },
-        wait_limit_, [self](bool known) {
+        wait_limit_,
+        [self](bool known) {
             if (self->stage_ != stage::waiting || self->abandoned_)
                 return;
             if (!known) {
@@ -151,8 +152,7 @@
             }
             self->floor_ = self->read_floor();
             self->at_primary_ = false;
-            const auto pool =
-                self->group_->choose_for_read({self->floor_, self->tried_}, clock_type::now());
+            const auto pool = self->group_->choose_for_read({self->floor_, self->tried_}, clock_type::now());
             if (!pool) {
                 self->tried_.clear();
                 self->retry(busy_delay);
@@ -166,8 +166,7 @@
 void statement_run::acquire(const std::shared_ptr<instance_pool> &pool)
 {
     pool_ = pool;
-    const connection_request request{request_.route->priority, wait_limit_,
-                                     {session_, &session_->values()}};
+    const connection_request request{request_.route->priority, wait_limit_, {session_, &session_->values()}};
     pool->acquire(request, [self = shared_from_this()](const auto &connection, auto reason) {
         if (self->stage_ != stage::waiting || self->abandoned_) {
             if (connection)
@@ -214,9 +213,8 @@
                 [one_done](const auto &answer) { one_done(answer && !answer->error); });
     };
     const auto &wanted = session_->values();
-    const bool has_others = std::any_of(it.values.begin(), it.values.end(), [&wanted](const auto &value) {
-        return !wanted.count(value.first);
-    });
+    const bool has_others = std::any_of(it.values.begin(), it.values.end(),
+                                        [&wanted](const auto &value) { return !wanted.count(value.first); });
     if (has_others && !in_transaction) {
         it.values.clear();
         it.prepared.clear();
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -5,8 +5,8 @@
 #include "platform/line_codec.h"
 #include "session/messages.h"
 #include "session/session_context.h"
-#include "support/boot_clock.h"
 #include "support/address.h"
+#include "support/boot_clock.h"
 
 #include <chrono>
 #include <deque>
--- a/src/session/statement.h
+++ b/src/session/statement.h
@@ -31,8 +31,8 @@
 struct statement
 {
     statement_kind kind = statement_kind::read;
-    std::string name;      ///< of the value or of the prepared statement
-    std::string argument;  ///< value of `set_value`, shape of `prepare`, the rest of `execute`
+    std::string name;            ///< of the value or of the prepared statement
+    std::string argument;        ///< value of `set_value`, shape of `prepare`, the rest of `execute`
     bool prepares_write = false; ///< `prepare`: the shape writes
 };
 
--- a/src/store/vm_list.h
+++ b/src/store/vm_list.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "inner/timer.h"
-#include "store/store_client.h"
 #include "routing/store_pace.h"
+#include "store/store_client.h"
 
 #include <functional>
 #include <optional>
