--- a/src/failover/peer_census.cpp
+++ b/src/failover/peer_census.cpp
@@ -4,12 +4,34 @@
 
 namespace baobabport::failover {
 
-void peer_census::heard(const support::address &from, milliseconds store_silent_for, time_point now)
+void peer_census::heard(const inner::member &from, milliseconds store_silent_for, time_point now)
 {
-    members_[from.text()] = {now, store_silent_for};
+    members_[from.address] = {from, now, store_silent_for};
     std::erase_if(members_, [now](const auto &it) { return now - it.second.heard_at > membership; });
 }
 
+void peer_census::adopt(const std::vector<inner::member> &members, time_point now)
+{
+    for (const auto &it : members)
+        members_.try_emplace(it.address, known_member{it, now, milliseconds(0)});
+}
+
+const std::vector<inner::member> &peer_census::list(time_point now, std::uint64_t &version)
+{
+    std::vector<inner::member> fresh;
+    for (const auto &it : members_) {
+        if (now - it.second.heard_at <= listed)
+            fresh.push_back(it.second.it);
+    }
+    if (fresh != list_) {
+        list_ = std::move(fresh);
+        // By time, so that the lists of two holders never have the same version.
+        version_ = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    }
+    version = version_;
+    return list_;
+}
+
 bool peer_census::store_is_down(milliseconds own_silence, time_point now) const
 {
     if (own_silence < store_silence)
--- a/src/failover/peer_census.h
+++ b/src/failover/peer_census.h
@@ -2,11 +2,13 @@
 
 #pragma once
 
-#include "support/address.h"
+#include "inner/lease_messages.h"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace baobabport::failover {
 
@@ -29,8 +31,17 @@
     /// A store that has not answered for this long does not answer.
     static constexpr milliseconds store_silence{1000};
 
+    /// A member that was not heard for this long is left out of the list; several requests may be lost.
+    static constexpr milliseconds listed{1200};
+
     /// Takes in a request of a process, which says for how long the store has not answered it.
-    void heard(const support::address &from, milliseconds store_silent_for, time_point now);
+    void heard(const inner::member &from, milliseconds store_silent_for, time_point now);
+
+    /// Takes in the list of an earlier holder, so that its members stay listed until they are heard.
+    void adopt(const std::vector<inner::member> &members, time_point now);
+
+    /// Returns the processes heard lately; `version` rises with each change of the list.
+    const std::vector<inner::member> &list(time_point now, std::uint64_t &version);
 
     /// Returns true if the store answers no member. `own_silence`: for how long not this process.
     [[nodiscard]] bool store_is_down(milliseconds own_silence, time_point now) const;
@@ -38,13 +49,16 @@
     [[nodiscard]] std::size_t members(time_point now) const;
 
 private:
-    struct member
+    struct known_member
     {
+        inner::member it;
         time_point heard_at;
         milliseconds store_silent_for{0};
     };
 
-    std::map<std::string, member> members_; ///< by address
+    std::map<std::string, known_member> members_; ///< by address
+    std::vector<inner::member> list_;
+    std::uint64_t version_ = 0;
 };
 
 } // namespace baobabport::failover
--- a/src/inner/lease_messages.cpp
+++ b/src/inner/lease_messages.cpp
@@ -44,7 +44,8 @@
 
 std::string encode(const lease_request &message)
 {
-    return to_bytes({request_kind, message.generation, message.number, message.store_silent_for.count()});
+    return to_bytes({request_kind, message.generation, message.number, message.store_silent_for.count(),
+                     message.members_known, message.vm, message.data_centre});
 }
 
 std::string encode(const lease_answer &message)
@@ -52,7 +53,11 @@
     json leases = json::array();
     for (const auto &it : message.leases)
         leases.push_back(encode_lease(it));
-    return to_bytes({answer_kind, message.generation, message.number, leases});
+    json members = json::array();
+    for (const auto &it : message.members)
+        members.push_back(json::array({it.vm, it.data_centre, it.address}));
+    return to_bytes(
+        {answer_kind, message.generation, message.number, leases, message.members_version, members});
 }
 
 std::optional<lease_request> decode_lease_request(std::string_view bytes)
@@ -61,8 +66,12 @@
         const auto fields = from_bytes(bytes);
         if (!fields.is_array() || fields.at(0) != request_kind)
             return std::nullopt;
-        return lease_request{fields.at(1).get<std::uint64_t>(), fields.at(2).get<std::uint64_t>(),
-                             std::chrono::milliseconds(fields.at(3).get<std::int64_t>())};
+        return lease_request{fields.at(1).get<std::uint64_t>(),
+                             fields.at(2).get<std::uint64_t>(),
+                             std::chrono::milliseconds(fields.at(3).get<std::int64_t>()),
+                             fields.at(4).get<std::uint64_t>(),
+                             fields.at(5).get<std::string>(),
+                             fields.at(6).get<std::string>()};
     } catch (const json::exception &) {
         return std::nullopt; // the caller counts what it cannot read
     }
@@ -74,7 +83,13 @@
         const auto fields = from_bytes(bytes);
         if (!fields.is_array() || fields.at(0) != answer_kind)
             return std::nullopt;
-        lease_answer out{fields.at(1).get<std::uint64_t>(), fields.at(2).get<std::uint64_t>(), {}};
+        lease_answer out;
+        out.generation = fields.at(1).get<std::uint64_t>();
+        out.number = fields.at(2).get<std::uint64_t>();
+        out.members_version = fields.at(4).get<std::uint64_t>();
+        for (const auto &it : fields.at(5))
+            out.members.push_back(
+                {it.at(0).get<std::string>(), it.at(1).get<std::string>(), it.at(2).get<std::string>()});
         for (const auto &it : fields.at(3))
             out.leases.push_back(decode_lease(it));
         return out;
--- a/src/inner/lease_messages.h
+++ b/src/inner/lease_messages.h
@@ -16,9 +16,21 @@
 /// Asks the holder of the failover duty for leases on all groups.
 struct lease_request
 {
-    std::uint64_t generation = 0; ///< of the holder that is meant
-    std::uint64_t number = 0;     ///< of the request; comes back with the answer
+    std::uint64_t generation = 0;                  ///< of the holder that is meant
+    std::uint64_t number = 0;                      ///< of the request; comes back with the answer
     std::chrono::milliseconds store_silent_for{0}; ///< since the store last answered the asker
+    std::uint64_t members_known = 0;               ///< version of the member list that the asker has
+    std::string vm;                                ///< the asker
+    std::string data_centre;
+};
+
+/// A process that other processes can reach.
+struct member
+{
+    std::string vm;
+    std::string data_centre;
+    std::string address; ///< `IP:PORT`
+    bool operator==(const member &) const = default;
 };
 
 /// The holder's word that it replaces no primary of the group before the lease ends.
@@ -40,6 +52,8 @@
     std::uint64_t generation = 0;
     std::uint64_t number = 0;
     std::vector<primary_lease> leases; ///< groups that are not named have none
+    std::uint64_t members_version = 0;
+    std::vector<member> members; ///< left out if the asker has this version
 };
 
 [[nodiscard]] std::string encode(const lease_request &message);
--- a/src/inner/stream_connection.cpp
+++ b/src/inner/stream_connection.cpp
@@ -32,11 +32,13 @@
     message_kind kind;
     const char *path;
 };
-constexpr std::array<kind_path, 5> kind_paths{{{message_kind::hello, "/hello"},
+constexpr std::array<kind_path, 7> kind_paths{{{message_kind::hello, "/hello"},
                                                {message_kind::prove, "/prove"},
                                                {message_kind::statement, "/statement"},
                                                {message_kind::view, "/view"},
-                                               {message_kind::document, "/document"}}};
+                                               {message_kind::document, "/document"},
+                                               {message_kind::work, "/w"},
+                                               {message_kind::end_work, "/e"}}};
 
 const char *path_of(message_kind kind)
 {
--- a/src/inner/stream_connection.h
+++ b/src/inner/stream_connection.h
@@ -21,7 +21,9 @@
     prove,
     statement,
     view,
-    document
+    document,
+    work,    ///< a statement for an instance whose connections the other side holds
+    end_work ///< ends a transaction there
 };
 
 /// How a sent message ended.
--- /dev/null
+++ b/src/inner/work_messages.cpp
@@ -0,0 +1,156 @@
+#include "inner/work_messages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace baobabport::inner {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Messages travel as CBOR arrays: field names would be most of their bytes.
+
+std::string to_bytes(const json &message)
+{
+    std::string out;
+    json::to_cbor(message, out);
+    return out;
+}
+
+json from_bytes(std::string_view bytes)
+{
+    return json::from_cbor(bytes.begin(), bytes.end());
+}
+
+json position_fields(const std::optional<consistency::position> &at)
+{
+    return at ? json{at->term, at->offset} : json(nullptr);
+}
+
+std::optional<consistency::position> read_position(const json &fields)
+{
+    if (fields.is_null())
+        return std::nullopt;
+    return consistency::position{fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::uint64_t>()};
+}
+
+json prepared_fields(const std::optional<session::prepared_statement> &it)
+{
+    return it ? json{it->writes, it->shape} : json(nullptr);
+}
+
+std::optional<session::prepared_statement> read_prepared(const json &fields)
+{
+    if (fields.is_null())
+        return std::nullopt;
+    return session::prepared_statement{fields.at(0).get<bool>(), fields.at(1).get<std::string>()};
+}
+
+template <typename Enum>
+Enum read_enum(const json &field, Enum last)
+{
+    const auto value = field.get<std::uint8_t>();
+    if (value > static_cast<std::uint8_t>(last))
+        throw json::other_error::create(501, "unknown value", nullptr); // NOLINT: as a decoding error
+    return static_cast<Enum>(value);
+}
+
+json error_fields(const std::optional<session::failure> &error)
+{
+    return error ? json{static_cast<std::uint8_t>(error->code), error->text} : json(nullptr);
+}
+
+std::optional<session::failure> read_error(const json &fields)
+{
+    if (fields.is_null())
+        return std::nullopt;
+    return session::failure{read_enum(fields.at(0), session::answer_code::no_database),
+                            fields.at(1).get<std::string>()};
+}
+
+template <typename Message, typename Read>
+std::optional<Message> decode(std::string_view bytes, const Read &read)
+{
+    try {
+        const auto fields = from_bytes(bytes);
+        Message out;
+        read(fields, out);
+        return out;
+    } catch (const json::exception &) {
+        return std::nullopt; // the caller reports what it cannot read
+    }
+}
+
+} // namespace
+
+std::string encode(const work_request &message)
+{
+    json values = json::array();
+    for (const auto &[name, value] : message.values) {
+        values.push_back(name);
+        values.push_back(value);
+    }
+    return to_bytes(
+        json::array({message.service, message.instance, message.priority, message.time_left.count(),
+                     message.wait_left.count(), values, prepared_fields(message.prepared),
+                     static_cast<std::uint8_t>(message.begin), position_fields(message.floor),
+                     message.transaction, message.id, message.text}));
+}
+
+std::string encode(const work_answer &message)
+{
+    return to_bytes(
+        json::array({static_cast<std::uint8_t>(message.outcome), message.reason, message.answer.rows,
+                     message.answer.receipt, error_fields(message.answer.error),
+                     static_cast<std::uint8_t>(message.answer.end.state),
+                     position_fields(message.answer.end.log), message.transaction}));
+}
+
+std::string encode(const work_end &message)
+{
+    return to_bytes(json::array({message.transaction}));
+}
+
+std::optional<work_request> decode_work_request(std::string_view bytes)
+{
+    return decode<work_request>(bytes, [](const json &fields, work_request &out) {
+        out.service = fields.at(0).get<std::string>();
+        out.instance = fields.at(1).get<std::string>();
+        out.priority = fields.at(2).get<std::uint32_t>();
+        out.time_left = milliseconds(fields.at(3).get<std::int64_t>());
+        out.wait_left = milliseconds(fields.at(4).get<std::int64_t>());
+        const auto &values = fields.at(5);
+        for (std::size_t n = 0; n + 1 < values.size(); n += 2)
+            out.values[values.at(n).get<std::string>()] = values.at(n + 1).get<std::string>();
+        out.prepared = read_prepared(fields.at(6));
+        out.begin = read_enum(fields.at(7), begin_mode::read_only);
+        out.floor = read_position(fields.at(8));
+        out.transaction = fields.at(9).get<std::uint64_t>();
+        out.id = fields.at(10).get<std::string>();
+        out.text = fields.at(11).get<std::string>();
+    });
+}
+
+std::optional<work_answer> decode_work_answer(std::string_view bytes)
+{
+    return decode<work_answer>(bytes, [](const json &fields, work_answer &out) {
+        out.outcome = read_enum(fields.at(0), work_outcome::lost);
+        out.reason = fields.at(1).get<std::string>();
+        out.answer.rows = fields.at(2).get<std::vector<std::string>>();
+        out.answer.receipt = fields.at(3).get<std::string>();
+        out.answer.error = read_error(fields.at(4));
+        out.answer.end.state = read_enum(fields.at(5), session::transaction_state::failed);
+        out.answer.end.log = read_position(fields.at(6));
+        out.transaction = fields.at(7).get<std::uint64_t>();
+    });
+}
+
+std::optional<work_end> decode_work_end(std::string_view bytes)
+{
+    return decode<work_end>(bytes, [](const json &fields, work_end &out) {
+        out.transaction = fields.at(0).get<std::uint64_t>();
+    });
+}
+
+} // namespace baobabport::inner
--- a/src/platform/metadata_client.cpp
+++ b/src/platform/metadata_client.cpp
@@ -114,17 +114,18 @@
             idle_.pop_back();
         }
         auto *const raw = client.get();
-        raw->send(request, [self = weak_from_this(), client, sent_at, done = std::move(done)](const auto &answer) {
-            const auto me = self.lock();
-            if (!me)
-                return;
-            if (answer.failure == http::client_failure::none && me->idle_.size() < max_idle)
-                me->idle_.push_back(client);
-            const auto reply = read_reply(answer);
-            if (reply.outcome != call_outcome::no_answer && reply.outcome != call_outcome::refused)
-                me->served_at_ = std::max(me->served_at_, sent_at);
-            done(reply);
-        });
+        raw->send(request,
+                  [self = weak_from_this(), client, sent_at, done = std::move(done)](const auto &answer) {
+                      const auto me = self.lock();
+                      if (!me)
+                          return;
+                      if (answer.failure == http::client_failure::none && me->idle_.size() < max_idle)
+                          me->idle_.push_back(client);
+                      const auto reply = read_reply(answer);
+                      if (reply.outcome != call_outcome::no_answer && reply.outcome != call_outcome::refused)
+                          me->served_at_ = std::max(me->served_at_, sent_at);
+                      done(reply);
+                  });
     }
 
     [[nodiscard]] std::uint64_t calls() const { return calls_; }
--- a/src/pooler/pooler_task.cpp
+++ b/src/pooler/pooler_task.cpp
@@ -121,6 +121,9 @@
     case message_kind::hello:
     case message_kind::prove:
         return; // taken by the connection itself
+    case message_kind::work:
+    case message_kind::end_work:
+        return; // between proxies only; the asker's time-out tells it
     }
 }
 
--- a/src/proxy/caller_task.cpp
+++ b/src/proxy/caller_task.cpp
@@ -240,8 +240,8 @@
         request.writes = prepared->writes;
     }
     const auto group = transaction_ ? transaction_->group : environment_.group_of(request.route->service);
-    run_ =
-        std::make_shared<statement_run>(environment_.base, std::move(request), session_, group, transaction_);
+    run_ = std::make_shared<statement_run>(environment_.base, environment_.executor, std::move(request),
+                                           session_, group, transaction_);
     const std::weak_ptr<caller_task> weak = weak_from_this();
     const auto run = run_; // it may end before `start` returns
     run->start([weak, id = message.id](run_result result) {
@@ -306,12 +306,8 @@
     const auto ended = std::move(transaction_);
     transaction_.reset();
     failed_transaction_ = false;
-    if (!ended || !ended->connection)
-        return;
-    if (ended->connection->unanswered() > 0)
-        ended->pool->drop(ended->connection);
-    else
-        return_connection(ended->pool, ended->connection);
+    if (ended && ended->id != 0)
+        environment_.executor->end_transaction(ended->vm, ended->id);
 }
 
 void caller_task::end_transaction(const std::string &reason)
@@ -319,9 +315,9 @@
     if (!transaction_ || run_ || failed_transaction_)
         return;
     support::log_event("transaction_ended", {{"database", database_}, {"reason", reason}});
-    if (transaction_->connection)
-        return_connection(transaction_->pool, transaction_->connection);
-    transaction_->connection.reset();
+    if (transaction_->id != 0)
+        environment_.executor->end_transaction(transaction_->vm, transaction_->id);
+    transaction_->id = 0;
     failed_transaction_ = true;
 }
 
@@ -364,9 +360,6 @@
     socket_ = nullptr;
     if (run_) {
         run_->abandon();
-        // The run gives the connection back with its answer; an open transaction then rolls back.
-        if (transaction_ && transaction_->connection && transaction_->connection->unanswered() > 0)
-            transaction_->connection.reset();
         run_.reset();
     }
     release_transaction();
--- a/src/proxy/duty_task.cpp
+++ b/src/proxy/duty_task.cpp
@@ -3,6 +3,7 @@
 #include "failover/lease_grantor.h"
 #include "support/boot_clock.h"
 #include "support/json_log.h"
+#include "support/keys.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -18,17 +19,19 @@
 constexpr const char *holder_key = "baobabport/failover/holder";
 constexpr const char *generation_key = "baobabport/failover/generation";
 
-std::string generation_value(std::uint64_t generation, bool released)
+constexpr std::size_t peer_key_bytes = 32;
+
+std::string generation_value(std::uint64_t generation, bool released, const std::string &peer_key)
 {
-    return nlohmann::json{{"generation", generation}, {"released", released}}.dump();
+    return nlohmann::json{{"generation", generation}, {"released", released}, {"peer_key", peer_key}}.dump();
 }
 
 } // namespace
 
 duty_task::duty_task(event_base *base, platform::metadata_client &store, std::string vm,
-                     support::address peer)
-    : store_(store), vm_(std::move(vm)), peer_(std::move(peer)), timer_(base, [this] { look(); }),
-      renew_timer_(base, [this] { renew(); })
+                     std::string data_centre, support::address peer)
+    : store_(store), vm_(std::move(vm)), data_centre_(std::move(data_centre)), peer_(std::move(peer)),
+      timer_(base, [this] { look(); }), renew_timer_(base, [this] { renew(); })
 {
 }
 
@@ -51,7 +54,7 @@
 {
     if (holding_ || holder_revision_ == 0 || holder_ == vm_)
         return std::nullopt;
-    return lease_holder{holder_peer_, generation_};
+    return lease_holder{holder_, holder_data_centre_, holder_peer_, generation_};
 }
 
 void duty_task::look()
@@ -90,11 +93,13 @@
             holder_revision_ = it.revision;
             holder_ = fields.value("vm", "");
             holder_peer_ = support::parse_address(fields.value("peer", "")).value_or(support::address{});
+            holder_data_centre_ = fields.value("data_centre", "");
             holder_lease_ = it.lease;
         } else if (it.key == generation_key) {
             generation_revision_ = it.revision;
             generation_ = fields.value("generation", std::uint64_t{0});
             released_ = fields.value("released", false);
+            peer_key_ = fields.value("peer_key", "");
         }
     }
 }
@@ -132,11 +137,13 @@
 
 void duty_task::take_key()
 {
+    if (peer_key_.empty())
+        peer_key_ = support::to_base64(support::random_bytes(peer_key_bytes));
     platform::key_change change;
-    const nlohmann::json holder{{"vm", vm_}, {"peer", peer_.text()}};
+    const nlohmann::json holder{{"vm", vm_}, {"peer", peer_.text()}, {"data_centre", data_centre_}};
     change.conditions = {{holder_key, 0}, {generation_key, generation_revision_}};
     change.writes = {{holder_key, holder.dump(), lease_},
-                     {generation_key, generation_value(generation_ + 1, false), 0}};
+                     {generation_key, generation_value(generation_ + 1, false, peer_key_), 0}};
     store_.change(change, store_timeout, [this](const auto &reply) {
         if (reply.outcome != call_outcome::done) {
             // Another process was first, or the answer is lost: the keys tell.
@@ -206,7 +213,7 @@
     log_event("failover_duty_resigned", {{"generation", std::to_string(generation_)}});
     platform::key_change change;
     change.conditions = {{holder_key, holder_revision_}};
-    change.writes = {{generation_key, generation_value(generation_, true), 0}};
+    change.writes = {{generation_key, generation_value(generation_, true, peer_key_), 0}};
     change.removals = {holder_key};
     store_.change(change, store_timeout, [](const auto &) {
         // An answer changes nothing: without one the lease ends by itself.
--- a/src/proxy/duty_task.h
+++ b/src/proxy/duty_task.h
@@ -33,7 +33,8 @@
     /// Others notice the end of a lease by a watch of this length.
     static constexpr std::chrono::milliseconds watch_time{4000};
 
-    duty_task(event_base *base, platform::metadata_client &store, std::string vm, support::address peer);
+    duty_task(event_base *base, platform::metadata_client &store, std::string vm, std::string data_centre,
+              support::address peer);
 
     void start() { look(); }
 
@@ -59,6 +60,9 @@
     [[nodiscard]] std::optional<lease_holder> other_holder() const;
     [[nodiscard]] const std::string &vm() const { return vm_; }
 
+    /// Returns the key that all processes share, or an empty text while it is not known.
+    [[nodiscard]] std::string peer_key() const { return generation_revision_ == 0 ? "" : peer_key_; }
+
 private:
     void look();
     void watch();
@@ -72,6 +76,7 @@
 
     platform::metadata_client &store_;
     std::string vm_;
+    std::string data_centre_;
     support::address peer_;
     inner::timer timer_;
     inner::timer renew_timer_;
@@ -81,8 +86,10 @@
     std::uint64_t generation_revision_ = 0; ///< 0: there was no holder yet
     std::uint64_t generation_ = 0;          ///< of the last holder known
     bool released_ = false;                 ///< the last holder gave the duty back
+    std::string peer_key_;                  ///< drawn by the first holder ever
     std::string holder_;
     support::address holder_peer_;
+    std::string holder_data_centre_;
     std::uint64_t holder_lease_ = 0;
     std::uint64_t lease_ = 0;
     bool holding_ = false;
--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -131,9 +131,7 @@
             cost += leaving;
         if (state_.primary() == id)
             cost += leads;
-        const auto in_use = it.pool->open_count() - std::min(it.pool->open_count(), it.pool->idle_count());
-        cost += static_cast<double>(in_use) / std::max(1U, it.record.slots) +
-                2.0 * static_cast<double>(it.pool->waiting_count());
+        cost += static_cast<double>(it.under_way) / std::max(1U, it.record.slots);
         if (!best || cost < best_cost) {
             best = it.pool;
             best_cost = cost;
@@ -222,6 +220,26 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now - since);
 }
 
+void group_task::note_sent(const std::string &id)
+{
+    const auto it = members_.find(id);
+    if (it != members_.end())
+        ++it->second.under_way;
+}
+
+void group_task::note_returned(const std::string &id)
+{
+    const auto it = members_.find(id);
+    if (it != members_.end() && it->second.under_way > 0)
+        --it->second.under_way;
+}
+
+std::string group_task::data_centre_of(const std::string &id) const
+{
+    const auto it = members_.find(id);
+    return it == members_.end() ? std::string() : it->second.record.data_centre;
+}
+
 void group_task::reject_primary(const std::string &id)
 {
     if (state_.primary() == id)
--- a/src/proxy/group_task.h
+++ b/src/proxy/group_task.h
@@ -112,6 +112,11 @@
     /// Takes in the log position and time of an answer to a caller's statement.
     void note_answer(const std::string &id, const session::prompt &end, time_point sent_at);
 
+    /// Counts statements of this process's sessions that are under way to an instance.
+    void note_sent(const std::string &id);
+    void note_returned(const std::string &id);
+    [[nodiscard]] std::string data_centre_of(const std::string &id) const;
+
     /// Returns how long ago the instance last answered anything.
     [[nodiscard]] std::chrono::milliseconds quiet_for(const std::string &id, time_point now) const;
 
@@ -139,6 +144,7 @@
         time_point answered_at;
         time_point distrusted_until;
         time_point probe_sent;
+        std::uint32_t under_way = 0;
         bool probing = false;
         bool refuses = false;
     };
--- /dev/null
+++ b/src/proxy/instance_access.cpp
@@ -0,0 +1,263 @@
+#include "proxy/instance_access.h"
+
+#include "support/boot_clock.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace baobabport::proxy {
+
+using clock_type = support::boot_clock;
+using inner::begin_mode;
+using inner::work_outcome;
+using session::transaction_state;
+
+/// One statement in progress.
+class instance_access::work : public std::enable_shared_from_this<work>
+{
+public:
+    work(std::shared_ptr<shared_state> state, std::uint64_t owner, inner::work_request request,
+         answer_hook done)
+        : state_(std::move(state)), owner_(owner), request_(std::move(request)), done_(std::move(done)),
+          give_up_at_(clock_type::now() + request_.time_left + late_answer)
+    {
+    }
+
+    void run_on_new_connection(const std::shared_ptr<instance_pool> &pool);
+    void run_within(pinned &transaction);
+
+private:
+    void prepare();
+    void begin();
+    void send();
+    void take(const std::optional<session::statement_answer> &answer);
+    void not_run(std::string reason);
+    void lose(work_outcome outcome, std::string reason);
+    void finish(inner::work_answer answer);
+
+    std::shared_ptr<shared_state> state_;
+    std::uint64_t owner_;
+    inner::work_request request_;
+    answer_hook done_;
+    time_point give_up_at_;
+    std::shared_ptr<instance_pool> pool_;
+    instance_pool::connection connection_;
+};
+
+void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it)
+{
+    if (it->is_closed())
+        return;
+    if (it->state() == transaction_state::none) {
+        pool->release(it);
+        return;
+    }
+    it->give_up_at = clock_type::now() + instance_access::late_answer;
+    it->send(platform::own_statement_id, platform::rollback_text(), [pool, it](const auto &answer) {
+        if (answer && answer->end.state == transaction_state::none)
+            pool->release(it);
+        else
+            pool->drop(it);
+    });
+}
+
+void instance_access::work::run_on_new_connection(const std::shared_ptr<instance_pool> &pool)
+{
+    pool_ = pool;
+    const auto self = shared_from_this();
+    const connection_request wanted{
+        request_.priority, clock_type::now() + request_.wait_left, {self, &request_.values}};
+    pool->acquire(wanted, [self](const auto &connection, auto reason) {
+        if (!connection) {
+            self->not_run(reason == no_connection::waited_too_long ? "all connections are in use"
+                                                                   : "the instance takes no connections");
+            return;
+        }
+        self->connection_ = connection;
+        self->prepare();
+    });
+}
+
+void instance_access::work::run_within(pinned &transaction)
+{
+    pool_ = transaction.pool;
+    connection_ = transaction.connection;
+    transaction.running = true;
+    prepare();
+}
+
+void instance_access::work::prepare()
+{
+    auto &it = *connection_;
+    it.give_up_at = give_up_at_;
+    struct progress
+    {
+        int open = 1; ///< answers to come, and this function's own
+        bool failed = false;
+    };
+    const auto state = std::make_shared<progress>();
+    const auto one_done = [self = shared_from_this(), state](bool ok) {
+        state->failed = state->failed || !ok;
+        if (--state->open > 0)
+            return;
+        if (state->failed)
+            self->lose(work_outcome::not_run, "the connection could not be prepared");
+        else
+            self->begin();
+    };
+    const auto send = [&it, state, one_done](const std::string &text) {
+        ++state->open;
+        it.send(platform::own_statement_id, text,
+                [one_done](const auto &answer) { one_done(answer && !answer->error); });
+    };
+    const auto &wanted = request_.values;
+    const bool has_others = std::any_of(it.values.begin(), it.values.end(),
+                                        [&wanted](const auto &value) { return !wanted.count(value.first); });
+    if (has_others && it.state() == transaction_state::none) {
+        it.values.clear();
+        it.prepared.clear();
+        send(platform::reset_text());
+    }
+    for (const auto &[name, value] : wanted) {
+        const auto known = it.values.find(name);
+        if (known != it.values.end() && known->second == value)
+            continue;
+        it.values[name] = value;
+        send(platform::set_text(name, value));
+    }
+    if (request_.prepared && it.prepared.insert(request_.prepared->shared_name()).second)
+        send(platform::prepare_text(*request_.prepared));
+    one_done(true);
+}
+
+void instance_access::work::begin()
+{
+    if (request_.begin == begin_mode::none || request_.transaction != 0) {
+        send();
+        return;
+    }
+    // The statement waits for the begin: after a failed one it would run outside any transaction.
+    const auto text = platform::begin_text(request_.begin == begin_mode::read_only, request_.floor);
+    connection_->send(platform::own_statement_id, text, [self = shared_from_this()](const auto &answer) {
+        if (!answer) {
+            self->lose(work_outcome::not_run, "the connection was lost");
+            return;
+        }
+        if (answer->error) {
+            return_connection(self->pool_, self->connection_);
+            self->finish({work_outcome::answered, {}, *answer, 0});
+            return;
+        }
+        self->send();
+    });
+}
+
+void instance_access::work::send()
+{
+    auto text = request_.text;
+    const bool alone = request_.begin == begin_mode::none && request_.transaction == 0;
+    if (alone && request_.floor)
+        text = platform::at_least_text(*request_.floor, text);
+    connection_->send(request_.id, text,
+                      [self = shared_from_this()](const auto &answer) { self->take(answer); });
+}
+
+void instance_access::work::take(const std::optional<session::statement_answer> &answer)
+{
+    if (!answer) {
+        lose(work_outcome::lost, "the connection was lost");
+        return;
+    }
+    if (answer->error && answer->error->code == session::answer_code::unknown_name && request_.prepared)
+        connection_->prepared.erase(request_.prepared->shared_name());
+    inner::work_answer out{work_outcome::answered, {}, *answer, 0};
+    const bool open = answer->end.state == transaction_state::open;
+    if (open && (request_.begin != begin_mode::none || request_.transaction != 0)) {
+        out.transaction = request_.transaction != 0 ? request_.transaction : ++state_->last_transaction;
+        state_->transactions[out.transaction] = {owner_, pool_, connection_, clock_type::now(), false};
+    } else {
+        state_->transactions.erase(request_.transaction);
+        return_connection(pool_, connection_);
+    }
+    finish(std::move(out));
+}
+
+void instance_access::work::not_run(std::string reason)
+{
+    finish({work_outcome::not_run, std::move(reason), {}, 0});
+}
+
+void instance_access::work::lose(work_outcome outcome, std::string reason)
+{
+    pool_->drop(connection_);
+    state_->transactions.erase(request_.transaction);
+    finish({outcome, std::move(reason), {}, 0});
+}
+
+void instance_access::work::finish(inner::work_answer answer)
+{
+    connection_.reset();
+    const auto done = std::move(done_);
+    done_ = nullptr;
+    if (done)
+        done(answer);
+}
+
+void instance_access::execute(std::uint64_t owner, inner::work_request request, answer_hook done)
+{
+    const auto transaction = request.transaction;
+    const auto pool = pools_(request.service, request.instance);
+    const auto it = std::make_shared<work>(state_, owner, std::move(request), done);
+    if (transaction != 0) {
+        const auto known = state_->transactions.find(transaction);
+        if (known == state_->transactions.end() || known->second.owner != owner || known->second.running) {
+            done({work_outcome::not_run, "the transaction is not open here", {}, 0});
+            return;
+        }
+        it->run_within(known->second);
+        return;
+    }
+    if (!pool) {
+        done({work_outcome::not_run, "the instance is not known", {}, 0});
+        return;
+    }
+    it->run_on_new_connection(pool);
+}
+
+void instance_access::end_transaction(std::uint64_t transaction)
+{
+    const auto it = state_->transactions.find(transaction);
+    if (it == state_->transactions.end())
+        return;
+    const auto ended = std::move(it->second);
+    state_->transactions.erase(it);
+    if (ended.running)
+        ended.pool->drop(ended.connection); // rolls back whatever it is doing
+    else
+        return_connection(ended.pool, ended.connection);
+}
+
+void instance_access::end_owner(std::uint64_t owner)
+{
+    std::vector<std::uint64_t> ended;
+    for (const auto &it : state_->transactions) {
+        if (it.second.owner == owner)
+            ended.push_back(it.first);
+    }
+    for (const auto it : ended)
+        end_transaction(it);
+}
+
+void instance_access::end_unused(time_point now, std::chrono::milliseconds limit)
+{
+    std::vector<std::uint64_t> ended;
+    for (const auto &it : state_->transactions) {
+        if (!it.second.running && now - it.second.used_at > limit)
+            ended.push_back(it.first);
+    }
+    for (const auto it : ended)
+        end_transaction(it);
+}
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/instance_access.h
@@ -0,0 +1,70 @@
+// Runs statements on this process's own connections, for its own sessions and for other processes.
+
+#pragma once
+
+#include "inner/work_messages.h"
+#include "proxy/instance_pool.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace baobabport::proxy {
+
+/**
+ * Gives each statement a connection that has its session's values and prepared statements, and keeps the
+ * connections of open transactions.
+ */
+class instance_access
+{
+public:
+    using answer_hook = std::function<void(const inner::work_answer &)>;
+    using pool_hook = std::function<std::shared_ptr<instance_pool>(const std::string &service,
+                                                                   const std::string &instance)>;
+
+    /// An answer may come this much after its statement's time before its connection is given up.
+    static constexpr std::chrono::milliseconds late_answer{500};
+
+    explicit instance_access(pool_hook pools) : pools_(std::move(pools)) {}
+
+    /// Runs the work for `owner`; the hook is called once, at once or later.
+    void execute(std::uint64_t owner, inner::work_request request, answer_hook done);
+
+    /// Rolls back a transaction.
+    void end_transaction(std::uint64_t transaction);
+
+    /// Rolls back all transactions of an owner that is gone.
+    void end_owner(std::uint64_t owner);
+
+    /// Rolls back transactions that nobody has used for `limit`.
+    void end_unused(time_point now, std::chrono::milliseconds limit);
+
+    [[nodiscard]] std::size_t open_transactions() const { return state_->transactions.size(); }
+
+private:
+    struct pinned
+    {
+        std::uint64_t owner = 0;
+        std::shared_ptr<instance_pool> pool;
+        instance_pool::connection connection;
+        time_point used_at;
+        bool running = false; ///< a statement is in progress
+    };
+    /// Shared with the statements in progress, which may outlive the object.
+    struct shared_state
+    {
+        std::map<std::uint64_t, pinned> transactions;
+        std::uint64_t last_transaction = 0;
+    };
+    class work;
+
+    pool_hook pools_;
+    std::shared_ptr<shared_state> state_ = std::make_shared<shared_state>();
+};
+
+/// Gives a connection back to its pool, outside any transaction.
+void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it);
+
+} // namespace baobabport::proxy
--- a/src/proxy/lease_task.cpp
+++ b/src/proxy/lease_task.cpp
@@ -62,7 +62,11 @@
     asked_at_ = now;
     const auto number = ++last_number_;
     sent_[number % remembered] = {number, now};
-    const auto bytes = inner::encode(inner::lease_request{holder->generation, number, hooks_.store_silent_for()});
+    inner::lease_request request;
+    request.generation = holder->generation;
+    request.number = number;
+    hooks_.describe(request);
+    const auto bytes = inner::encode(request);
     const auto to = to_sockaddr(holder->at);
     // A datagram that cannot be sent is like one that is lost: the next one follows soon.
     sendto(socket_, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr *>(&to), sizeof(to));
--- a/src/proxy/lease_task.h
+++ b/src/proxy/lease_task.h
@@ -21,6 +21,8 @@
 /// Where the duty's holder takes requests.
 struct lease_holder
 {
+    std::string vm;
+    std::string data_centre;
     support::address at;
     std::uint64_t generation = 0;
 };
@@ -39,10 +41,11 @@
         /// Returns the holder to ask, or none: it is not known or is this process.
         std::function<std::optional<lease_holder>()> holder;
         /// Returns the answer to a request, or none if this process is not the holder meant.
-        std::function<std::optional<inner::lease_answer>(const inner::lease_request &, const support::address &from)>
+        std::function<std::optional<inner::lease_answer>(const inner::lease_request &,
+                                                         const support::address &from)>
             grant;
-        /// Returns for how long the store has not answered this process.
-        std::function<std::chrono::milliseconds()> store_silent_for;
+        /// Fills what a request says of this process.
+        std::function<void(inner::lease_request &)> describe;
         std::function<void(const inner::lease_answer &, time_point asked_at)> granted;
     };
 
--- /dev/null
+++ b/src/proxy/peer_task.cpp
@@ -0,0 +1,195 @@
+#include "proxy/peer_task.h"
+
+#include "routing/home_ranking.h"
+#include "support/boot_clock.h"
+#include "support/json_log.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <stdexcept>
+#include <utility>
+
+namespace baobabport::proxy {
+
+using clock_type = support::boot_clock;
+using inner::message_kind;
+using inner::work_outcome;
+
+namespace {
+
+constexpr int listen_backlog = 512;
+
+} // namespace
+
+peer_task::peer_task(event_base *base, peer_identity self, instance_access &access)
+    : base_(base), self_(std::move(self)), access_(access), links_(base, self_.vm, {self_.key, {}})
+{
+    listen();
+}
+
+peer_task::~peer_task()
+{
+    stop();
+}
+
+void peer_task::listen()
+{
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(self_.at.port);
+    inet_pton(AF_INET, self_.at.ip.c_str(), &at.sin_addr);
+    const auto accepted = [](evconnlistener * /*listener*/, evutil_socket_t socket, sockaddr * /*from*/,
+                             int /*length*/, void *self) { static_cast<peer_task *>(self)->accept(socket); };
+    listener_ = evconnlistener_new_bind(base_, accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                        listen_backlog, reinterpret_cast<const sockaddr *>(&at), sizeof(at));
+    if (!listener_)
+        throw std::runtime_error("cannot listen on " + self_.at.text());
+}
+
+void peer_task::stop()
+{
+    if (listener_)
+        evconnlistener_free(listener_);
+    listener_ = nullptr;
+}
+
+void peer_task::accept(int socket)
+{
+    const auto owner = ++last_owner_;
+    inner::stream_connection::hooks hooks;
+    hooks.received = [this, owner](message_kind kind, const std::string &body, auto stream) {
+        serve(owner, kind, body, stream);
+    };
+    hooks.closed = [this, owner](const std::string & /*reason*/) {
+        access_.end_owner(owner);
+        served_.erase(owner);
+    };
+    auto connection =
+        inner::stream_connection::accept(base_, socket, self_.vm, {self_.key, {}}, std::move(hooks));
+    served_[owner].connection = std::move(connection);
+}
+
+void peer_task::serve(std::uint64_t owner, message_kind kind, const std::string &body,
+                      inner::stream_connection::stream_id stream)
+{
+    const std::weak_ptr<bool> alive = alive_;
+    const auto reply = [this, alive, owner, stream](const std::string &bytes) {
+        if (alive.expired())
+            return;
+        const auto link = served_.find(owner);
+        if (link != served_.end() && link->second.connection)
+            link->second.connection->reply(stream, bytes);
+    };
+    if (kind == message_kind::end_work) {
+        if (const auto ended = inner::decode_work_end(body))
+            access_.end_transaction(ended->transaction);
+        reply({});
+        return;
+    }
+    auto request = inner::decode_work_request(body);
+    if (kind != message_kind::work || !request) {
+        support::log_warning("peer_message_unreadable", {{"bytes", std::to_string(body.size())}});
+        reply(inner::encode(inner::work_answer{work_outcome::not_run, "unreadable request", {}, 0}));
+        return;
+    }
+    access_.execute(owner, std::move(*request),
+                    [reply](const inner::work_answer &answer) { reply(inner::encode(answer)); });
+}
+
+void peer_task::set_members(std::vector<inner::member> members)
+{
+    members_ = std::move(members);
+    std::erase_if(members_, [this](const auto &it) { return it.vm == self_.vm; });
+    members_.push_back({self_.vm, self_.data_centre, self_.at.text()});
+    for (const auto &it : members_) {
+        if (const auto at = support::parse_address(it.address))
+            links_.set_address(it.vm, *at);
+    }
+}
+
+bool peer_task::avoided(const std::string &vm, time_point now) const
+{
+    const auto it = health_.find(vm);
+    if (it == health_.end())
+        return false;
+    const auto &health = it->second;
+    return now < health.avoided_until || (health.outstanding > 0 && now - health.heard_at > silence_limit);
+}
+
+std::string peer_task::home_of(const std::string &instance, const std::string &data_centre,
+                               time_point now) const
+{
+    std::vector<routing::candidate> candidates;
+    for (const auto &it : members_)
+        candidates.push_back({it.vm, it.data_centre});
+    const auto order = routing::rank_homes({instance, {data_centre}}, candidates);
+    std::size_t rank = 0;
+    for (const auto n : order) {
+        const auto &vm = candidates[n].name;
+        if (vm == self_.vm)
+            return {};
+        if (++rank > ranks)
+            break;
+        if (!avoided(vm, now))
+            return vm;
+    }
+    return {};
+}
+
+void peer_task::execute(const std::string &vm, inner::work_request request, answer_hook done)
+{
+    if (vm.empty()) {
+        access_.execute(0, std::move(request), std::move(done));
+        return;
+    }
+    auto &health = health_[vm];
+    if (health.outstanding++ == 0)
+        health.heard_at = clock_type::now();
+    const auto timeout = request.time_left + instance_access::late_answer;
+    const std::weak_ptr<bool> alive = alive_;
+    links_.send(vm, message_kind::work, inner::encode(request), timeout,
+                [this, alive, vm, done = std::move(done)](const auto &outcome) {
+                    if (!alive.expired())
+                        take_outcome(vm, outcome, done);
+                });
+}
+
+void peer_task::take_outcome(const std::string &vm, const inner::stream_outcome &outcome,
+                             const answer_hook &done)
+{
+    auto &health = health_[vm];
+    --health.outstanding;
+    const auto answer = outcome.answered ? inner::decode_work_answer(outcome.body) : std::nullopt;
+    const auto now = clock_type::now();
+    if (answer) {
+        health.heard_at = now;
+        health.next_avoidance = avoid_first;
+        done(*answer);
+        return;
+    }
+    if (now >= health.avoided_until) {
+        support::log_event("peer_avoided",
+                           {{"vm", vm}, {"for_ms", std::to_string(health.next_avoidance.count())}});
+        health.avoided_until = now + health.next_avoidance;
+        health.next_avoidance = std::min(health.next_avoidance * 2, avoid_longest);
+    }
+    const bool lost = outcome.answered || outcome.may_have_arrived;
+    done({lost ? work_outcome::lost : work_outcome::not_run, "the process " + vm + " did not answer", {}, 0});
+}
+
+void peer_task::end_transaction(const std::string &vm, std::uint64_t transaction)
+{
+    if (vm.empty()) {
+        access_.end_transaction(transaction);
+        return;
+    }
+    constexpr std::chrono::milliseconds timeout{1000};
+    links_.send(vm, message_kind::end_work, inner::encode(inner::work_end{transaction}), timeout,
+                [](const auto &) {
+                    // Without an answer the other side ends it with the link, or when it is unused too long.
+                });
+}
+
+} // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/peer_task.h
@@ -0,0 +1,102 @@
+// The other processes: which of them holds an instance's connections, and the links to them.
+
+#pragma once
+
+#include "inner/lease_messages.h"
+#include "inner/pooler_links.h"
+#include "proxy/instance_access.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+struct event_base;
+struct evconnlistener;
+
+namespace baobabport::proxy {
+
+/// Who this process is among the others.
+struct peer_identity
+{
+    std::string vm;
+    std::string data_centre;
+    support::address at;
+    std::string key; ///< shared by all processes
+};
+
+/**
+ * Sends each statement to its instance's home: the first process by rendezvous hashing among those in the
+ * instance's data centre. One process then schedules an instance's connections, whoever faces the caller.
+ *
+ * A home that does not answer is passed over for a while in favour of the next rank; no promise depends on
+ * there being one home.
+ */
+class peer_task
+{
+public:
+    using answer_hook = instance_access::answer_hook;
+
+    /// A process that failed is passed over this long; it doubles with each failure in a row.
+    static constexpr std::chrono::milliseconds avoid_first{400};
+    static constexpr std::chrono::milliseconds avoid_longest{3000};
+    /// A process that has answered nothing for this long is passed over: beyond the longest work.
+    static constexpr std::chrono::milliseconds silence_limit{350};
+    /// Homes ranked by the list: further ones would only spread an instance's connections.
+    static constexpr std::size_t ranks = 3;
+
+    peer_task(event_base *base, peer_identity self, instance_access &access);
+    ~peer_task();
+    peer_task(const peer_task &) = delete;
+    peer_task &operator=(const peer_task &) = delete;
+
+    /// Takes in the processes that can be reached, with or without this one.
+    void set_members(std::vector<inner::member> members);
+    [[nodiscard]] const std::vector<inner::member> &members() const { return members_; }
+
+    /// Returns the process to send the instance's work to; empty: this one.
+    [[nodiscard]] std::string home_of(const std::string &instance, const std::string &data_centre,
+                                      time_point now) const;
+
+    /// Runs the work at the process, or here if `vm` is empty.
+    void execute(const std::string &vm, inner::work_request request, answer_hook done);
+    void end_transaction(const std::string &vm, std::uint64_t transaction);
+
+    /// Stops taking links; those that are open go on.
+    void stop();
+
+private:
+    struct link_health
+    {
+        time_point avoided_until;
+        std::chrono::milliseconds next_avoidance = avoid_first;
+        std::uint32_t outstanding = 0;
+        time_point heard_at; ///< or when something was sent after all had been answered
+    };
+    struct served_link
+    {
+        std::unique_ptr<inner::stream_connection> connection;
+    };
+
+    void listen();
+    void accept(int socket);
+    void serve(std::uint64_t owner, inner::message_kind kind, const std::string &body,
+               inner::stream_connection::stream_id stream);
+    void take_outcome(const std::string &vm, const inner::stream_outcome &outcome, const answer_hook &done);
+    [[nodiscard]] bool avoided(const std::string &vm, time_point now) const;
+
+    event_base *base_;
+    peer_identity self_;
+    instance_access &access_;
+    inner::pooler_links links_;
+    std::vector<inner::member> members_;
+    std::map<std::string, link_health> health_; ///< by VM
+    std::map<std::uint64_t, served_link> served_;
+    std::uint64_t last_owner_ = 0; ///< 0 is this process
+    evconnlistener *listener_ = nullptr;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< held weakly by callbacks
+};
+
+} // namespace baobabport::proxy
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -35,21 +35,28 @@
       store_(base, settings_.store),
       desired_state_(base, store_, [this](auto state) { apply(std::move(state)); }),
       instance_list_(base, store_, [this](auto records) { apply(std::move(records)); }),
-      timer_(base, [this] { tick(); })
+      access_([this](const auto &service, const auto &instance) {
+          const auto group = groups_.find(service);
+          return group == groups_.end() ? nullptr : group->second->pool_of(instance);
+      }),
+      executor_(make_executor()), timer_(base, [this] { tick(); })
 {
-    environment_ = {base_, &routes_, &metrics_, [this](const auto &service) { return group_of(service); }};
+    environment_ = {base_, &routes_, &metrics_, &executor_,
+                    [this](const auto &service) { return group_of(service); }};
     if (settings_.promotion_orders) {
         orders_.emplace(base_, *settings_.promotion_orders);
-        duty_.emplace(base_, store_, settings_.process, settings_.peers);
-        duty_->on_store_down([this](time_point now) { return census_.store_is_down(store_silence(now), now); });
+        duty_.emplace(base_, store_, settings_.process, settings_.data_centre, settings_.peers);
+        duty_->on_store_down(
+            [this](time_point now) { return census_.store_is_down(store_silence(now), now); });
         duty_->start();
     }
     listen();
-    leases_.emplace(base_, settings_.peers,
-                    lease_task::hooks{[this] { return duty_ ? duty_->other_holder() : std::nullopt; },
-                                      [this](const auto &request, const auto &from) { return grant(request, from); },
-                                      [this] { return store_silence(clock_type::now()); },
-                                      [this](const auto &answer, auto at) { take_leases(answer, at); }});
+    leases_.emplace(
+        base_, settings_.peers,
+        lease_task::hooks{[this] { return duty_ ? duty_->other_holder() : std::nullopt; },
+                          [this](const auto &request, const auto &from) { return grant(request, from); },
+                          [this](auto &request) { describe(request); },
+                          [this](const auto &answer, auto at) { take_leases(answer, at); }});
     desired_state_.start();
     instance_list_.start();
     timer_.repeat(tick_interval);
@@ -157,6 +164,7 @@
 {
     const auto now = clock_type::now();
     tick_duty(now);
+    tick_peers(now);
     leases_->tick(now);
     for (const auto &it : groups_)
         it.second->tick(now);
@@ -179,6 +187,70 @@
         return;
     granting_ = held;
     grantor_.begin(duty_->settled_at());
+    census_.adopt(known_members_, now);
+}
+
+work_executor proxy_task::make_executor()
+{
+    work_executor out;
+    out.home_of = [this](const auto &instance, const auto &data_centre) {
+        return peers_ ? peers_->home_of(instance, data_centre, clock_type::now()) : std::string();
+    };
+    out.execute = [this](const auto &vm, inner::work_request request, instance_access::answer_hook done) {
+        if (peers_)
+            peers_->execute(vm, std::move(request), std::move(done));
+        else
+            access_.execute(0, std::move(request), std::move(done));
+    };
+    out.end_transaction = [this](const auto &vm, std::uint64_t transaction) {
+        if (peers_)
+            peers_->end_transaction(vm, transaction);
+        else
+            access_.end_transaction(transaction);
+    };
+    return out;
+}
+
+void proxy_task::tick_peers(time_point now)
+{
+    access_.end_unused(now, routes_.state().transaction_idle * 2);
+    if (!duty_)
+        return;
+    if (!peers_ && !duty_->peer_key().empty()) {
+        peers_.emplace(
+            base_,
+            peer_identity{settings_.process, settings_.data_centre, settings_.peers, duty_->peer_key()},
+            access_);
+        peers_->set_members(known_members_);
+    }
+    if (!duty_->held(now))
+        return;
+    std::uint64_t version = 0;
+    const auto &members = census_.list(now, version);
+    if (version != members_version_)
+        take_members(members, version);
+}
+
+void proxy_task::take_members(const std::vector<inner::member> &members, std::uint64_t version)
+{
+    if (version == members_version_)
+        return;
+    members_version_ = version;
+    known_members_ = members;
+    // The holder that made the list is not on it.
+    if (const auto holder = duty_->other_holder())
+        known_members_.push_back({holder->vm, holder->data_centre, holder->at.text()});
+    if (peers_)
+        peers_->set_members(known_members_);
+    log_event("members_known", {{"members", std::to_string(known_members_.size())}});
+}
+
+void proxy_task::describe(inner::lease_request &request) const
+{
+    request.store_silent_for = store_silence(clock_type::now());
+    request.members_known = members_version_;
+    request.vm = settings_.process;
+    request.data_centre = settings_.data_centre;
 }
 
 milliseconds proxy_task::store_silence(time_point now) const
@@ -190,11 +262,17 @@
                                                      const support::address &from)
 {
     const auto now = clock_type::now();
-    census_.heard(from, request.store_silent_for, now);
+    if (!request.vm.empty())
+        census_.heard({request.vm, request.data_centre, from.text()}, request.store_silent_for, now);
     const auto held = duty_ ? duty_->may_grant(now) : std::nullopt;
     if (!held || held != granting_ || *held != request.generation)
         return std::nullopt;
-    inner::lease_answer out{*held, request.number, {}};
+    inner::lease_answer out;
+    out.generation = *held;
+    out.number = request.number;
+    const auto &members = census_.list(now, out.members_version);
+    if (out.members_version != request.members_known)
+        out.members = members;
     for (const auto &[service, group] : groups_) {
         group->want_floor(now);
         const auto lease = group->lease_for_others(now);
@@ -208,6 +286,8 @@
 
 void proxy_task::take_leases(const inner::lease_answer &answer, time_point asked_at)
 {
+    if (!answer.members.empty())
+        take_members(answer.members, answer.members_version);
     for (const auto &it : answer.leases) {
         const auto group = groups_.find(it.service);
         if (group != groups_.end())
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -12,7 +12,9 @@
 #include "proxy/duty_task.h"
 #include "proxy/failover_task.h"
 #include "proxy/group_task.h"
+#include "proxy/instance_access.h"
 #include "proxy/lease_task.h"
+#include "proxy/peer_task.h"
 #include "proxy/proxy_settings.h"
 #include "proxy/store_tasks.h"
 #include "support/metrics.h"
@@ -58,6 +60,10 @@
     void tick();
     void tick_drain(time_point now);
     void tick_duty(time_point now);
+    void tick_peers(time_point now);
+    void take_members(const std::vector<inner::member> &members, std::uint64_t version);
+    void describe(inner::lease_request &request) const;
+    work_executor make_executor();
     std::optional<inner::lease_answer> grant(const inner::lease_request &request,
                                              const support::address &from);
     [[nodiscard]] milliseconds store_silence(time_point now) const;
@@ -85,6 +91,11 @@
     std::optional<lease_task> leases_;
     std::map<std::string, std::shared_ptr<group_task>> groups_;
     std::map<std::string, std::unique_ptr<failover_task>> failovers_;
+    instance_access access_;
+    std::optional<peer_task> peers_; ///< once the key of the processes is known
+    std::vector<inner::member> known_members_;
+    std::uint64_t members_version_ = 0;
+    work_executor executor_;
     session_environment environment_;
     std::map<std::uint64_t, std::shared_ptr<caller_task>> callers_;
     std::uint64_t last_caller_ = 0;
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -23,28 +23,12 @@
 
 } // namespace
 
-void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it)
-{
-    if (it->is_closed())
-        return;
-    if (it->state() == transaction_state::none) {
-        pool->release(it);
-        return;
-    }
-    it->give_up_at = support::boot_clock::now() + statement_run::late_answer;
-    it->send(platform::own_statement_id, platform::rollback_text(), [pool, it](const auto &answer) {
-        if (answer && answer->end.state == transaction_state::none)
-            pool->release(it);
-        else
-            pool->drop(it);
-    });
-}
-
-statement_run::statement_run(event_base *base, run_request request,
+statement_run::statement_run(event_base *base, work_executor *executor, run_request request,
                              std::shared_ptr<session::session_context> session,
                              std::shared_ptr<group_task> group, std::shared_ptr<transaction> within)
-    : base_(base), request_(std::move(request)), session_(std::move(session)), group_(std::move(group)),
-      within_(std::move(within)), deadline_(request_.arrived_at + request_.route->statement_timeout),
+    : base_(base), executor_(executor), request_(std::move(request)), session_(std::move(session)),
+      group_(std::move(group)), within_(std::move(within)),
+      deadline_(request_.arrived_at + request_.route->statement_timeout),
       wait_limit_(request_.arrived_at + share_of(request_.route->statement_timeout, wait_share))
 {
 }
@@ -52,12 +36,10 @@
 void statement_run::start(done_hook done)
 {
     done_ = std::move(done);
-    if (within_ && within_->connection) {
-        pool_ = within_->pool;
-        connection_ = within_->connection;
+    if (within_ && within_->id != 0) {
         term_ = within_->term;
         at_primary_ = term_ > 0;
-        prepare_connection();
+        send(within_->vm, within_->instance);
         return;
     }
     choose();
@@ -118,19 +100,21 @@
 {
     const auto self = shared_from_this();
     const auto group = group_;
-    group_->wait_until([group] { return group->primary_pool() && !group->state().contested(); }, wait_limit_,
-                       [self](bool known) {
-                           if (self->stage_ != stage::waiting || self->abandoned_)
-                               return;
-                           const auto pool = self->group_->primary_pool();
-                           if (!known || !pool) {
-                               self->refuse("no primary is known");
-                               return;
-                           }
-                           self->at_primary_ = true;
-                           self->term_ = self->group_->state().term();
-                           self->acquire(pool);
-                       });
+    group_->wait_until(
+        [group] { return group->primary_pool() && !group->state().contested(); }, wait_limit_,
+        [self](bool known) {
+            if (self->stage_ != stage::waiting || self->abandoned_)
+                return;
+            const auto pool = self->group_->primary_pool();
+            if (!known || !pool) {
+                self->refuse("no primary is known");
+                return;
+            }
+            self->at_primary_ = true;
+            self->term_ = self->group_->state().term();
+            const auto instance = pool->target().instance;
+            self->send(self->executor_->home_of(instance, self->group_->data_centre_of(instance)), instance);
+        });
 }
 
 void statement_run::choose_reader()
@@ -158,188 +142,111 @@
                 self->retry(busy_delay);
                 return;
             }
-            self->tried_.insert(pool->target().instance);
-            self->acquire(pool);
+            const auto instance = pool->target().instance;
+            self->tried_.insert(instance);
+            self->send(self->executor_->home_of(instance, self->group_->data_centre_of(instance)), instance);
         });
 }
 
-void statement_run::acquire(const std::shared_ptr<instance_pool> &pool)
-{
-    pool_ = pool;
-    const connection_request request{request_.route->priority, wait_limit_, {session_, &session_->values()}};
-    pool->acquire(request, [self = shared_from_this()](const auto &connection, auto reason) {
-        if (self->stage_ != stage::waiting || self->abandoned_) {
-            if (connection)
-                self->pool_->release(connection);
-            return;
-        }
-        if (!connection) {
-            if (reason == no_connection::waited_too_long)
-                self->refuse("all connections are in use");
-            else
-                self->retry(busy_delay);
-            return;
-        }
-        self->connection_ = connection;
-        self->prepare_connection();
-    });
-}
-
-void statement_run::prepare_connection()
+void statement_run::send(const std::string &vm, const std::string &instance)
 {
-    const auto self = shared_from_this();
-    auto &it = *connection_;
-    it.give_up_at = deadline_ + late_answer;
-    const bool in_transaction = it.state() != transaction_state::none;
-    struct progress
-    {
-        int open = 1; ///< answers to come, and this function's own
-        bool failed = false;
-    };
-    const auto state = std::make_shared<progress>();
-    const auto one_done = [self, state](bool ok) {
-        state->failed = state->failed || !ok;
-        if (--state->open > 0)
-            return;
-        if (state->failed) {
-            self->take_loss();
-            return;
-        }
-        self->send_begin();
-    };
-    const auto send = [&it, state, one_done](const std::string &text) {
-        ++state->open;
-        it.send(platform::own_statement_id, text,
-                [one_done](const auto &answer) { one_done(answer && !answer->error); });
+    vm_ = vm;
+    instance_ = instance;
+    stage_ = stage::sent;
+    ++attempts_;
+    sent_at_ = clock_type::now();
+    const auto left = [this](time_point until) {
+        return std::max(std::chrono::milliseconds(1),
+                        std::chrono::duration_cast<std::chrono::milliseconds>(until - sent_at_));
     };
-    const auto &wanted = session_->values();
-    const bool has_others = std::any_of(it.values.begin(), it.values.end(),
-                                        [&wanted](const auto &value) { return !wanted.count(value.first); });
-    if (has_others && !in_transaction) {
-        it.values.clear();
-        it.prepared.clear();
-        send(platform::reset_text());
-    }
-    for (const auto &[name, value] : wanted) {
-        const auto known = it.values.find(name);
-        if (known != it.values.end() && known->second == value)
-            continue;
-        it.values[name] = value;
-        send(platform::set_text(name, value));
+    inner::work_request work;
+    work.service = group_->identity().service;
+    work.instance = instance;
+    work.priority = request_.route->priority;
+    work.time_left = left(deadline_);
+    work.wait_left = left(wait_limit_);
+    work.values = session_->values();
+    work.prepared = request_.prepared;
+    work.id = request_.id;
+    work.text = request_.prepared
+                    ? platform::execute_text(request_.prepared->shared_name(), request_.parsed.argument)
+                    : request_.text;
+    if (within_) {
+        work.transaction = within_->id;
+        work.begin = within_->read_only ? inner::begin_mode::read_only : inner::begin_mode::read_write;
     }
-    if (request_.prepared && it.prepared.insert(request_.prepared->shared_name()).second)
-        send(platform::prepare_text(*request_.prepared));
-    one_done(true);
+    if (!at_primary_)
+        work.floor = floor_;
+    group_->note_sent(instance);
+    executor_->execute(vm, std::move(work), [self = shared_from_this(), instance](const auto &answer) {
+        self->group_->note_returned(instance);
+        self->take_answer(answer);
+    });
 }
 
-void statement_run::send_begin()
+void statement_run::take_answer(const inner::work_answer &answer)
 {
-    if (stage_ != stage::waiting || abandoned_) {
-        give_back_connection();
-        return;
-    }
-    if (!within_ || within_->connection) {
-        send_statement();
+    if (answer.outcome == inner::work_outcome::answered)
+        group_->note_answer(instance_, answer.answer.end, sent_at_);
+    if (stage_ != stage::sent || abandoned_) {
+        take_late_answer(answer);
         return;
     }
-    const auto text = platform::begin_text(within_->read_only, at_primary_ ? std::nullopt : floor_);
-    connection_->send(platform::own_statement_id, text, [self = shared_from_this()](const auto &answer) {
-        if (self->stage_ != stage::waiting || self->abandoned_) {
-            self->give_back_connection();
-            return;
-        }
-        if (!answer) {
-            self->take_loss();
-        } else if (answer->error) {
-            self->take_error(*answer->error, answer->end);
-        } else {
-            self->within_->pool = self->pool_;
-            self->within_->connection = self->connection_;
-            self->within_->term = self->at_primary_ ? self->term_ : 0;
-            self->send_statement();
+    if (within_) {
+        within_->id = answer.transaction;
+        if (answer.transaction != 0) {
+            within_->vm = vm_;
+            within_->instance = instance_;
+            within_->term = at_primary_ ? term_ : 0;
         }
-    });
-}
-
-void statement_run::send_statement()
-{
-    if (stage_ != stage::waiting || abandoned_) {
-        give_back_connection();
-        return;
     }
-    auto text = request_.text;
-    if (request_.prepared)
-        text = platform::execute_text(request_.prepared->shared_name(), request_.parsed.argument);
-    if (!within_ && !at_primary_ && floor_)
-        text = platform::at_least_text(*floor_, text);
-    stage_ = stage::sent;
-    ++attempts_;
-    connection_->give_up_at = deadline_ + late_answer;
-    sent_at_ = clock_type::now();
-    connection_->send(request_.id, text,
-                      [self = shared_from_this()](const auto &answer) { self->take_answer(answer); });
+    if (answer.outcome != inner::work_outcome::answered)
+        take_loss(answer);
+    else if (answer.answer.error)
+        take_error(*answer.answer.error);
+    else
+        take_success(answer.answer);
 }
 
-void statement_run::take_answer(const std::optional<session::statement_answer> &answer)
+void statement_run::take_late_answer(const inner::work_answer &answer)
 {
-    if (answer)
-        group_->note_answer(connection_->instance(), answer->end, sent_at_);
-    if (stage_ == stage::over || abandoned_) {
-        give_back_connection();
-        return;
-    }
-    if (!answer)
-        take_loss();
-    else if (answer->error)
-        take_error(*answer->error, answer->end);
-    else
-        take_success(*answer);
+    // Its caller was answered, or is gone; what the statement left open is rolled back.
+    if (answer.transaction != 0)
+        executor_->end_transaction(vm_, answer.transaction);
 }
 
-void statement_run::take_loss()
+void statement_run::take_loss(const inner::work_answer &answer)
 {
-    const bool was_sent = stage_ == stage::sent;
-    if (connection_) {
-        group_->distrust(connection_->instance(), clock_type::now());
-        pool_->drop(connection_);
+    const bool may_have_run = answer.outcome == inner::work_outcome::lost;
+    if (may_have_run)
+        group_->distrust(instance_, clock_type::now());
+    if (within_ && (within_->forwarded || is_commit())) {
+        if (is_commit() && may_have_run && within_->wrote)
+            return fail(answer_code::in_doubt, "the answer to the commit was lost: " + answer.reason);
+        return fail(answer_code::aborted, answer.reason);
     }
-    connection_.reset();
-    if (stage_ == stage::over || abandoned_)
-        return;
-    if (within_ && within_->connection) {
-        within_->connection.reset();
-        if (is_commit() && was_sent && within_->wrote)
-            return fail(answer_code::in_doubt, "the connection was lost during the commit");
-        return fail(answer_code::aborted, "the connection to the instance was lost");
-    }
-    if (was_sent && request_.writes)
-        return fail(answer_code::in_doubt, "the connection was lost during the write");
-    retry(std::chrono::milliseconds(0));
+    if (may_have_run && request_.writes && !within_)
+        return fail(answer_code::in_doubt, "the answer to the write was lost: " + answer.reason);
+    stage_ = stage::waiting;
+    retry(may_have_run ? std::chrono::milliseconds(0) : busy_delay);
 }
 
-void statement_run::take_error(const session::failure &error, const session::prompt & /*end*/)
+void statement_run::take_error(const session::failure &error)
 {
-    const auto instance = connection_->instance();
     if (error.code == answer_code::read_only && at_primary_)
-        group_->reject_primary(instance);
-    if (error.code == answer_code::unknown_name && request_.prepared)
-        connection_->prepared.erase(request_.prepared->shared_name());
+        group_->reject_primary(instance_);
     const bool first_of_transaction = within_ && !within_->forwarded;
     const bool repeatable = session::proves_not_run(error.code) || (!request_.writes && !is_commit());
     if (error.code != answer_code::malformed && repeatable && (!within_ || first_of_transaction)) {
-        give_back_connection();
         if (error.code == answer_code::failed || error.code == answer_code::timed_out)
-            group_->distrust(instance, clock_type::now());
+            group_->distrust(instance_, clock_type::now());
+        stage_ = stage::waiting;
         retry(error.code == answer_code::busy ? busy_delay : std::chrono::milliseconds(0));
         return;
     }
-    if (!within_) {
-        give_back_connection();
+    if (!within_)
         return fail(error.code, error.text);
-    }
-    const bool may_be_kept = is_commit() && within_->wrote && !session::proves_not_run(error.code);
-    give_back_connection();
-    if (may_be_kept)
+    if (is_commit() && within_->wrote && !session::proves_not_run(error.code))
         return fail(answer_code::in_doubt, error.text);
     fail(error.code == answer_code::malformed ? error.code : answer_code::aborted, error.text);
 }
@@ -368,9 +275,6 @@
 
 void statement_run::confirm(time_point since)
 {
-    // The connection is free while the answer waits.
-    if (!within_ || is_commit())
-        give_back_connection();
     confirmation_request request;
     request.since = since;
     request.term = term_;
@@ -436,9 +340,6 @@
     result_.ends_transaction = within_ && is_commit();
     result_.fails_transaction = within_ && result_.error && !result_.ends_transaction;
     retry_timer_.reset();
-    const bool still_running = connection_ && connection_->unanswered() > 0;
-    if ((!within_ || is_commit()) && !still_running)
-        give_back_connection(); // otherwise it comes back with the late answer
     const auto done = std::move(done_);
     done_ = nullptr;
     if (done)
@@ -452,11 +353,10 @@
     const bool may_have_run = stage_ != stage::waiting;
     if (!may_have_run)
         return refuse("no instance took the statement in its time");
-    if (within_ && within_->connection && !is_commit()) {
-        // The statement is still running; its connection rolls back when it is dropped.
-        within_->pool->drop(within_->connection);
-        within_->connection.reset();
-        connection_.reset();
+    if (within_ && !is_commit()) {
+        if (within_->id != 0) // it is still running there; ending its transaction rolls it back
+            executor_->end_transaction(within_->vm, within_->id);
+        within_->id = 0;
         return fail(answer_code::aborted, "the statement took longer than its route allows");
     }
     fail(changes_data() ? answer_code::in_doubt : answer_code::timed_out,
@@ -470,15 +370,4 @@
     retry_timer_.reset();
 }
 
-void statement_run::give_back_connection()
-{
-    if (!connection_)
-        return;
-    const auto it = std::move(connection_);
-    connection_.reset();
-    if (within_ && within_->connection == it)
-        within_->connection.reset();
-    return_connection(pool_, it);
-}
-
 } // namespace baobabport::proxy
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -4,6 +4,7 @@
 
 #include "directory/desired_state.h"
 #include "proxy/group_task.h"
+#include "proxy/instance_access.h"
 #include "session/messages.h"
 #include "session/session_context.h"
 #include "session/statement.h"
@@ -25,8 +26,9 @@
     time_point begun_at;
 
     // Set by the first statement that needs an instance.
-    std::shared_ptr<instance_pool> pool;
-    instance_pool::connection connection;
+    std::uint64_t id = 0; ///< at the process that runs it; 0: it is not open at an instance
+    std::string vm;       ///< the process; empty: this one
+    std::string instance;
     std::uint64_t term = 0; ///< of the primary it runs at; 0: not at a primary
     bool forwarded = false; ///< a statement of the caller has run in it
     bool wrote = false;
@@ -54,6 +56,14 @@
     time_point arrived_at;
 };
 
+/// Where statements are run: here, or at the process that holds an instance's connections.
+struct work_executor
+{
+    std::function<std::string(const std::string &instance, const std::string &data_centre)> home_of;
+    std::function<void(const std::string &vm, inner::work_request, instance_access::answer_hook)> execute;
+    std::function<void(const std::string &vm, std::uint64_t transaction)> end_transaction;
+};
+
 /**
  * Runs one statement. Reads are repeated elsewhere when an instance fails them; a write or commit that
  * went out is never sent again unless the instance says that it has not run.
@@ -66,8 +76,6 @@
     /// Part of a statement's time that it may wait for an instance before it is refused; the rest is
     /// left to the caller's own repeats, of which two are usual.
     static constexpr double wait_share = 0.3;
-    /// An answer may come this much after its statement's time before its connection is given up.
-    static constexpr std::chrono::milliseconds late_answer{500};
     /// Taken off a route's staleness, for the time between a read's first byte and its arrival here.
     static constexpr std::chrono::milliseconds staleness_margin{150};
     /// Pause before a busy instance is asked again; about one statement's work.
@@ -75,8 +83,9 @@
     /// Instances that one statement is offered to, at most.
     static constexpr int max_attempts = 8;
 
-    statement_run(event_base *base, run_request request, std::shared_ptr<session::session_context> session,
-                  std::shared_ptr<group_task> group, std::shared_ptr<transaction> within);
+    statement_run(event_base *base, work_executor *executor, run_request request,
+                  std::shared_ptr<session::session_context> session, std::shared_ptr<group_task> group,
+                  std::shared_ptr<transaction> within);
 
     void start(done_hook done);
 
@@ -104,22 +113,20 @@
     void choose();
     void choose_primary();
     void choose_reader();
-    void acquire(const std::shared_ptr<instance_pool> &pool);
-    void prepare_connection();
-    void send_begin();
-    void send_statement();
-    void take_answer(const std::optional<session::statement_answer> &answer);
-    void take_loss();
-    void take_error(const session::failure &error, const session::prompt &end);
+    void send(const std::string &vm, const std::string &instance);
+    void take_answer(const inner::work_answer &answer);
+    void take_late_answer(const inner::work_answer &answer);
+    void take_loss(const inner::work_answer &answer);
+    void take_error(const session::failure &error);
     void take_success(const session::statement_answer &answer);
     void confirm(time_point since);
     void retry(std::chrono::milliseconds delay);
     void refuse(const char *reason);
     void fail(session::answer_code code, std::string text);
     void finish();
-    void give_back_connection();
 
     event_base *base_;
+    work_executor *executor_;
     run_request request_;
     std::shared_ptr<session::session_context> session_;
     std::shared_ptr<group_task> group_;
@@ -130,8 +137,8 @@
     time_point wait_limit_;
     int attempts_ = 0;
     std::set<std::string> tried_;
-    std::shared_ptr<instance_pool> pool_;
-    instance_pool::connection connection_;
+    std::string vm_;       ///< the process that runs it; empty: this one
+    std::string instance_; ///< that it was last sent to
     std::uint64_t term_ = 0;
     bool at_primary_ = false;
     std::optional<position> floor_;
@@ -141,7 +148,4 @@
     std::unique_ptr<inner::timer> retry_timer_;
 };
 
-/// Gives a connection back to its pool, outside any transaction.
-void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it);
-
 } // namespace baobabport::proxy
