Questions go through homes, idle connections are closed

Cause: each of 79 processes kept a connection to each instance for its questions, more than the 46 there are. Change: a report is asked for through the instance's home unless this process holds the duty; the holder tells who leads also without a lease; an idle connection is closed after 3 s, also the last one.

--- a/src/inner/lease_messages.cpp
+++ b/src/inner/lease_messages.cpp
@@ -25,7 +25,7 @@
 
 json encode_lease(const primary_lease &it)
 {
-    return {it.service, it.primary, it.term, it.log.term, it.log.offset, it.log_age.count()};
+    return {it.service, it.primary, it.term, it.log.term, it.log.offset, it.log_age.count(), it.granted};
 }
 
 primary_lease decode_lease(const json &fields)
@@ -37,6 +37,7 @@
     out.log.term = fields.at(3).get<std::uint64_t>();
     out.log.offset = fields.at(4).get<std::uint64_t>();
     out.log_age = std::chrono::milliseconds(fields.at(5).get<std::int64_t>());
+    out.granted = fields.at(6).get<bool>();
     return out;
 }
 
--- a/src/inner/lease_messages.h
+++ b/src/inner/lease_messages.h
@@ -41,6 +41,7 @@
     std::uint64_t term = 0;
     consistency::position log;            ///< of the primary
     std::chrono::milliseconds log_age{0}; ///< since the log position was asked for
+    bool granted = true;                  ///< false: only tells who leads
 };
 
 /**
--- a/src/proxy/failover_task.cpp
+++ b/src/proxy/failover_task.cpp
@@ -49,7 +49,7 @@
         replicas_asked_at_ = now;
     for (const auto &it : snapshot.members) {
         if (snapshot.primary == it.id ? group_->quiet_for(it.id, now) >= watch_interval : replicas_due)
-            group_->probe(it.id);
+            group_->probe(it.id, true);
     }
 }
 
@@ -89,7 +89,7 @@
         group_->command(what.instance, platform::resume_text(), [](const auto &) {});
         return;
     case action_kind::probe:
-        group_->probe(what.instance);
+        group_->probe(what.instance, true);
         return;
     }
 }
--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -11,8 +11,8 @@
 using consistency::instance_role;
 using support::log_event;
 
-group_task::group_task(event_base *base, group_identity identity)
-    : base_(base), identity_(std::move(identity)), self_(std::make_shared<group_task *>(this))
+group_task::group_task(event_base *base, const work_executor &executor, group_identity identity)
+    : base_(base), executor_(executor), identity_(std::move(identity)), self_(std::make_shared<group_task *>(this))
 {
 }
 
@@ -184,7 +184,8 @@
                                     {"instance", lease.primary},
                                     {"term", std::to_string(lease.term)},
                                     {"source", "lease"}});
-    if (state_.primary() == lease.primary && state_.term() == lease.term) {
+    informed_at_ = clock_type::now();
+    if (lease.granted && state_.primary() == lease.primary && state_.term() == lease.term) {
         lease_term_ = lease.term;
         lease_until_ = std::max(lease_until_, asked_at + failover::primary_lease_time);
     }
@@ -289,7 +290,7 @@
     });
 }
 
-void group_task::probe(const std::string &id)
+void group_task::probe(const std::string &id, bool directly)
 {
     const auto found = members_.find(id);
     const auto now = clock_type::now();
@@ -298,7 +299,7 @@
     found->second.probing = true;
     found->second.probe_sent = now;
     const std::weak_ptr<group_task *> weak = self_;
-    command(id, platform::status_text(), [weak, id](const auto &report) {
+    const report_hook done = [weak, id](const auto &report) {
         const auto self = weak.lock();
         if (!self)
             return;
@@ -308,7 +309,35 @@
         // Without a report the next tick asks again: the failure may have come at once.
         if (report)
             (*self)->ask_replicas(clock_type::now());
-    });
+    };
+    if (directly)
+        command(id, platform::status_text(), done);
+    else
+        probe_through_home(id, done);
+}
+
+void group_task::probe_through_home(const std::string &id, const report_hook &done)
+{
+    inner::work_request work;
+    work.service = identity_.service;
+    work.instance = id;
+    work.time_left = probe_timeout;
+    work.wait_left = probe_timeout;
+    work.id = platform::own_statement_id;
+    work.text = platform::status_text();
+    const auto asked_at = clock_type::now();
+    const std::weak_ptr<group_task *> weak = self_;
+    executor_.execute(executor_.home_of(id, data_centre_of(id)), std::move(work),
+                      [weak, id, asked_at, done](const inner::work_answer &answer) {
+                          std::optional<replication::member_report> report;
+                          if (answer.outcome == inner::work_outcome::answered && !answer.answer.error &&
+                              !answer.answer.rows.empty())
+                              report = platform::read_member_report(answer.answer.rows.front());
+                          const auto self = weak.lock();
+                          if (self && report)
+                              (*self)->take_report(id, *report, asked_at);
+                          done(report);
+                      });
 }
 
 void group_task::take_report(const std::string &id, const replication::member_report &report,
@@ -425,7 +454,7 @@
 {
     if (state_.primary() && !state_.contested())
         return;
-    if (now - searched_at_ < search_interval)
+    if (now - searched_at_ < search_interval || now - informed_at_ < informed_time)
         return;
     searched_at_ = now;
     for (const auto &it : members_)
--- a/src/proxy/group_task.h
+++ b/src/proxy/group_task.h
@@ -6,6 +6,7 @@
 #include "failover/lease_grantor.h"
 #include "failover/switchover.h"
 #include "inner/lease_messages.h"
+#include "proxy/instance_access.h"
 #include "proxy/instance_pool.h"
 #include "replication/group_state.h"
 
@@ -65,6 +66,8 @@
     static constexpr std::chrono::milliseconds second_replica_after{40};
     /// A question for a report is given up after this time.
     static constexpr std::chrono::milliseconds probe_timeout{500};
+    /// What the duty's holder said is searched for only when nothing was heard for this long.
+    static constexpr std::chrono::milliseconds informed_time{600};
     /// Reports are asked for this often while the primary is unknown or contested.
     static constexpr std::chrono::milliseconds search_interval{60};
     /// While reads need a floor, it is at most this old; half of the shortest staleness in use.
@@ -74,7 +77,7 @@
     /// Floors are kept fresh this long after the last read that needed one.
     static constexpr std::chrono::milliseconds floor_demand{2000};
 
-    group_task(event_base *base, group_identity identity);
+    group_task(event_base *base, const work_executor &executor, group_identity identity);
 
     /// Takes in the instances of the group and the connections each allows this process.
     void set_members(const std::vector<directory::instance_record> &records, std::uint32_t limit);
@@ -126,9 +129,14 @@
 
     using report_hook = std::function<void(const std::optional<replication::member_report> &)>;
 
-    /// Sends a command of the proxy's own; its answer is a report.
+    /// Sends a command of the proxy's own on a connection of this process; its answer is a report.
     void command(const std::string &id, const std::string &text, report_hook done);
-    void probe(const std::string &id);
+
+    /// Asks the instance for a report: directly, or through the process that holds its connections.
+    void probe(const std::string &id, bool directly = false);
+
+    /// Returns true while statements wait to learn the primary or its log position.
+    [[nodiscard]] bool waits_for_primary() const { return !conditions_.empty(); }
 
     [[nodiscard]] failover::group_snapshot snapshot(time_point now) const;
     [[nodiscard]] const replication::group_state &state() const { return state_; }
@@ -171,13 +179,17 @@
     void take_report(const std::string &id, const replication::member_report &report, time_point asked_at);
     std::vector<std::string> replicas_by_preference(time_point now) const;
 
+    void probe_through_home(const std::string &id, const report_hook &done);
+
     event_base *base_;
+    const work_executor &executor_;
     group_identity identity_;
     replication::group_state state_;
     std::map<std::string, member> members_;
     std::list<waiting_confirmation> confirmations_;
     std::list<condition_waiter> conditions_;
     time_point floor_wanted_at_;
+    time_point informed_at_; ///< when the duty's holder last told who leads
     time_point lease_until_;
     std::uint64_t lease_term_ = 0;
     time_point searched_at_;
--- a/src/proxy/instance_access.cpp
+++ b/src/proxy/instance_access.cpp
@@ -111,6 +111,10 @@
         it.send(platform::own_statement_id, text,
                 [one_done](const auto &answer) { one_done(answer && !answer->error); });
     };
+    if (request_.id == platform::own_statement_id) { // needs nothing of any session
+        one_done(true);
+        return;
+    }
     const auto &wanted = request_.values;
     const bool has_others = std::any_of(it.values.begin(), it.values.end(),
                                         [&wanted](const auto &value) { return !wanted.count(value.first); });
--- a/src/proxy/instance_access.h
+++ b/src/proxy/instance_access.h
@@ -64,6 +64,14 @@
     std::shared_ptr<shared_state> state_ = std::make_shared<shared_state>();
 };
 
+/// Where statements are run: here, or at the process that holds an instance's connections.
+struct work_executor
+{
+    std::function<std::string(const std::string &instance, const std::string &data_centre)> home_of;
+    std::function<void(const std::string &vm, inner::work_request, instance_access::answer_hook)> execute;
+    std::function<void(const std::string &vm, std::uint64_t transaction)> end_transaction;
+};
+
 /// Gives a connection back to its pool, outside any transaction.
 void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it);
 
--- a/src/proxy/instance_pool.cpp
+++ b/src/proxy/instance_pool.cpp
@@ -179,7 +179,7 @@
         it = waiting_.erase(it);
     }
     std::vector<connection> idle_too_long;
-    for (std::size_t n = 0; n + 1 < idle_.size(); ++n) {
+    for (std::size_t n = 0; n < idle_.size(); ++n) {
         if (now - idle_[n].since > idle_time)
             idle_too_long.push_back(idle_[n].it);
     }
--- a/src/proxy/instance_pool.h
+++ b/src/proxy/instance_pool.h
@@ -44,7 +44,7 @@
 
     /// After a failed attempt to open, further ones wait this long; two detection intervals.
     static constexpr std::chrono::milliseconds retry_after_failure{200};
-    /// An idle connection beyond the first is closed after this time, so that others may have it.
+    /// An idle connection is closed after this time, so that others may have it.
     static constexpr std::chrono::milliseconds idle_time{3000};
     /// An attempt to open that takes longer has failed: 12 ms and the instance's queue are usual.
     static constexpr std::chrono::milliseconds open_timeout{600};
--- a/src/proxy/lease_task.cpp
+++ b/src/proxy/lease_task.cpp
@@ -52,9 +52,9 @@
     evutil_closesocket(socket_);
 }
 
-void lease_task::tick(time_point now)
+void lease_task::tick(time_point now, bool urgent)
 {
-    if (now - asked_at_ < renew_interval)
+    if (now - asked_at_ < (urgent ? urgent_interval : renew_interval))
         return;
     const auto holder = hooks_.holder();
     if (!holder)
--- a/src/proxy/lease_task.h
+++ b/src/proxy/lease_task.h
@@ -36,6 +36,9 @@
     /// Leases are renewed this often: a lost datagram does not end them.
     static constexpr std::chrono::milliseconds renew_interval{200};
 
+    /// While a group waits for its primary, the holder is asked this often.
+    static constexpr std::chrono::milliseconds urgent_interval{60};
+
     struct hooks
     {
         /// Returns the holder to ask, or none: it is not known or is this process.
@@ -55,7 +58,8 @@
     lease_task(const lease_task &) = delete;
     lease_task &operator=(const lease_task &) = delete;
 
-    void tick(time_point now);
+    /// `urgent`: a group waits for what the answer may tell.
+    void tick(time_point now, bool urgent);
 
     [[nodiscard]] std::uint64_t unreadable() const { return unreadable_; }
 
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -21,6 +21,8 @@
 
 constexpr int listen_backlog = 1024;
 constexpr std::size_t max_admin_body = 4096; ///< bytes
+/// A home leaves the rest of an instance's connections to its successor and to the duty's holder.
+constexpr std::uint32_t home_share_percent = 70;
 
 void on_accept(evconnlistener * /*listener*/, evutil_socket_t socket, sockaddr * /*from*/, int /*length*/,
                void *hook)
@@ -131,7 +133,7 @@
 std::uint32_t proxy_task::connection_limit(const std::string &service) const
 {
     const auto *const known = routes_.find_service(service);
-    return known ? std::max(1U, known->max_connections / 2) : 1U;
+    return known ? std::max(1U, known->max_connections * home_share_percent / 100) : 1U;
 }
 
 void proxy_task::update_groups()
@@ -147,7 +149,7 @@
     auto &group = groups_[service];
     if (!group) {
         group = std::make_shared<group_task>(
-            base_, group_identity{service, settings_.process, settings_.data_centre});
+            base_, executor_, group_identity{service, settings_.process, settings_.data_centre});
         group->set_members(instances_.of_service(service), connection_limit(service));
         if (duty_ && orders_)
             failovers_[service] = std::make_unique<failover_task>(group, *orders_, *duty_, grantor_);
@@ -165,7 +167,9 @@
     const auto now = clock_type::now();
     tick_duty(now);
     tick_peers(now);
-    leases_->tick(now);
+    const bool urgent = std::any_of(groups_.begin(), groups_.end(),
+                                    [](const auto &it) { return it.second->waits_for_primary(); });
+    leases_->tick(now, urgent);
     for (const auto &it : groups_)
         it.second->tick(now);
     for (const auto &it : failovers_)
@@ -275,10 +279,12 @@
         out.members = members;
     for (const auto &[service, group] : groups_) {
         group->want_floor(now);
-        const auto lease = group->lease_for_others(now);
-        if (!lease || !grantor_.may_grant(service, now))
+        auto lease = group->lease_for_others(now);
+        if (!lease)
             continue;
-        grantor_.note_grant(service, now);
+        lease->granted = grantor_.may_grant(service, now);
+        if (lease->granted)
+            grantor_.note_grant(service, now);
         out.leases.push_back(*lease);
     }
     return out;
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -56,14 +56,6 @@
     time_point arrived_at;
 };
 
-/// Where statements are run: here, or at the process that holds an instance's connections.
-struct work_executor
-{
-    std::function<std::string(const std::string &instance, const std::string &data_centre)> home_of;
-    std::function<void(const std::string &vm, inner::work_request, instance_access::answer_hook)> execute;
-    std::function<void(const std::string &vm, std::uint64_t transaction)> end_transaction;
-};
-
 /**
  * Runs one statement. Reads are repeated elsewhere when an instance fails them; a write or commit that
  * went out is never sent again unless the instance says that it has not run.
