Slots are scheduled at the home, and waits end by the target latency

Cause: with both replicas behind, all of a group's work went to its primary, whose queue held 770 ms of work; then everything was late. A dropped transaction kept its slot for ever (found with this change, before it landed). A replica seen behind was not tried again while nothing was sent to it. Ruled out: more retries, which only lengthen the queue. Change: the home starts as many statements as the instance has slots and one, most urgent first, and refuses at once what would wait beyond three quarters of the target latency; what was seen behind is tried again after 250 ms.

--- /dev/null
+++ b/src/admission/slot_scheduler.cpp
@@ -0,0 +1,100 @@
+#include "admission/slot_scheduler.h"
+
+#include <algorithm>
+
+namespace baobabport::admission {
+
+namespace {
+
+/// Bounds memory only: by time, requests are refused long before.
+constexpr std::uint32_t max_waiting = 4096;
+constexpr std::size_t max_waiting_bytes = std::size_t{64} * 1024 * 1024;
+/// What has waited this long may go before what is more urgent; the queue bounds how often.
+constexpr std::chrono::milliseconds ageing{400};
+
+document::limit_policy queue_limits()
+{
+    document::limit_policy out;
+    out.queue_length = max_waiting;
+    out.queue_bytes = max_waiting_bytes;
+    out.ageing = ageing;
+    return out;
+}
+
+document::priority_kind kind_of(std::uint32_t priority, bool holds_connection)
+{
+    if (holds_connection || priority == 0)
+        return document::priority_kind::first;
+    return priority == 1 ? document::priority_kind::normal : document::priority_kind::background;
+}
+
+} // namespace
+
+slot_decision slot_scheduler::submit(const slot_request &request, time_point now)
+{
+    if (has_room() && queue_.length() == 0) {
+        start(request.key, request.label, now);
+        return slot_decision::run;
+    }
+    const bool too_late = now + expected_wait(request.priority) > request.wait_until;
+    if (too_late && !request.holds_connection)
+        return slot_decision::refuse;
+    queued_request queued;
+    queued.key = request.key;
+    queued.class_name = request.holds_connection ? "open " + request.label : request.label;
+    queued.priority = kind_of(request.priority, request.holds_connection);
+    queued.cost = estimator_.expected(request.label);
+    queued.enqueued_at = now;
+    queued.deadline = request.wait_until;
+    return queue_.push(queued, queue_limits()) ? slot_decision::wait : slot_decision::refuse;
+}
+
+void slot_scheduler::finished(std::uint64_t key, bool answered, time_point now)
+{
+    const auto it = running_.find(key);
+    if (it == running_.end())
+        return;
+    if (answered) {
+        const auto took = std::chrono::duration_cast<std::chrono::microseconds>(now - it->second.since);
+        estimator_.finished(it->second.label, took);
+    }
+    running_.erase(it);
+}
+
+std::vector<std::uint64_t> slot_scheduler::next(time_point now)
+{
+    std::vector<std::uint64_t> out;
+    while (has_room()) {
+        const auto it = queue_.take([](const auto &) { return true; }, queue_limits(), now);
+        if (!it)
+            break;
+        start(it->key, it->class_name, now);
+        out.push_back(it->key);
+    }
+    return out;
+}
+
+std::vector<std::uint64_t> slot_scheduler::expired(time_point now)
+{
+    std::vector<std::uint64_t> out;
+    for (const auto &it : queue_.take_expired(now))
+        out.push_back(it.key);
+    return out;
+}
+
+std::chrono::microseconds slot_scheduler::expected_wait(std::uint32_t priority) const
+{
+    if (has_room() && queue_.length() == 0)
+        return std::chrono::microseconds(0);
+    auto work = queue_.work_ahead(kind_of(priority, false));
+    for (const auto &it : running_)
+        work += estimator_.expected(it.second.label) / 2; // about half of it is done
+    return work / std::max(1U, slots_);
+}
+
+void slot_scheduler::start(std::uint64_t key, const std::string &label, time_point now)
+{
+    running_[key] = {label, now};
+}
+
+} // namespace baobabport::admission
--- /dev/null
+++ b/src/admission/slot_scheduler.h
@@ -0,0 +1,80 @@
+// Which statements run on an instance now, which wait and which are refused at once.
+
+#pragma once
+
+#include "admission/duration_estimator.h"
+#include "admission/request_queue.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace baobabport::admission {
+
+/// A statement that wants to run on an instance.
+struct slot_request
+{
+    std::uint64_t key = 0;
+    std::uint32_t priority = 0;    ///< 0 is the most urgent
+    bool holds_connection = false; ///< within an open transaction: others wait for its end
+    std::string label;             ///< statements of one label take about the same time
+    time_point wait_until;         ///< refused when it still waits then
+};
+
+enum class slot_decision : std::uint8_t
+{
+    run,
+    wait,
+    refuse, ///< it would wait beyond its time
+};
+
+/**
+ * Keeps an instance's slots busy and its queue short, so that order and refusals are decided here.
+ */
+class slot_scheduler
+{
+public:
+    /// Statements on their way beyond the slots: they hide the time between an answer and the next start.
+    static constexpr std::uint32_t on_the_way = 1;
+
+    explicit slot_scheduler(std::uint32_t slots) : slots_(slots) {}
+
+    void set_slots(std::uint32_t slots) { slots_ = slots; }
+
+    /// Takes in a statement; it runs now, waits until `next` or `expired` name it, or is refused.
+    slot_decision submit(const slot_request &request, time_point now);
+
+    /// Takes in that a running statement has ended. Its time counts unless it had no answer.
+    void finished(std::uint64_t key, bool answered, time_point now);
+
+    /// Returns the statements that run from now on.
+    std::vector<std::uint64_t> next(time_point now);
+
+    /// Returns the statements that have waited too long; they wait no more.
+    std::vector<std::uint64_t> expired(time_point now);
+
+    /// Returns how long a new statement of the priority would wait.
+    [[nodiscard]] std::chrono::microseconds expected_wait(std::uint32_t priority) const;
+
+    [[nodiscard]] std::size_t running() const { return running_.size(); }
+    [[nodiscard]] std::size_t waiting() const { return queue_.length(); }
+
+private:
+    struct running_statement
+    {
+        std::string label;
+        time_point since;
+    };
+
+    [[nodiscard]] bool has_room() const { return running_.size() < slots_ + on_the_way; }
+    void start(std::uint64_t key, const std::string &label, time_point now);
+
+    std::uint32_t slots_;
+    request_queue queue_;
+    duration_estimator estimator_;
+    std::unordered_map<std::uint64_t, running_statement> running_;
+};
+
+} // namespace baobabport::admission
--- a/src/inner/work_messages.cpp
+++ b/src/inner/work_messages.cpp
@@ -95,7 +95,7 @@
         json::array({message.service, message.instance, message.priority, message.time_left.count(),
                      message.wait_left.count(), values, prepared_fields(message.prepared),
                      static_cast<std::uint8_t>(message.begin), position_fields(message.floor),
-                     message.transaction, message.id, message.text}));
+                     message.transaction, message.id, message.text, message.label}));
 }
 
 std::string encode(const work_answer &message)
@@ -104,7 +104,7 @@
         json::array({static_cast<std::uint8_t>(message.outcome), message.reason, message.answer.rows,
                      message.answer.receipt, error_fields(message.answer.error),
                      static_cast<std::uint8_t>(message.answer.end.state),
-                     position_fields(message.answer.end.log), message.transaction}));
+                     position_fields(message.answer.end.log), message.transaction, message.overloaded}));
 }
 
 std::string encode(const work_end &message)
@@ -129,6 +129,7 @@
         out.transaction = fields.at(9).get<std::uint64_t>();
         out.id = fields.at(10).get<std::string>();
         out.text = fields.at(11).get<std::string>();
+        out.label = fields.at(12).get<std::string>();
     });
 }
 
@@ -143,6 +144,7 @@
         out.answer.end.state = read_enum(fields.at(5), session::transaction_state::failed);
         out.answer.end.log = read_position(fields.at(6));
         out.transaction = fields.at(7).get<std::uint64_t>();
+        out.overloaded = fields.at(8).get<bool>();
     });
 }
 
--- a/src/inner/work_messages.h
+++ b/src/inner/work_messages.h
@@ -30,6 +30,7 @@
     std::string service;
     std::string instance;
     std::uint32_t priority = 0;             ///< 0 is served first
+    std::string label;                      ///< statements of one label take about the same time
     std::chrono::milliseconds time_left{0}; ///< for the statement
     std::chrono::milliseconds wait_left{0}; ///< it may wait so long for a connection
     session::session_values values;
@@ -52,7 +53,8 @@
 struct work_answer
 {
     work_outcome outcome = work_outcome::not_run;
-    std::string reason; ///< unless it was answered
+    std::string reason;      ///< unless it was answered
+    bool overloaded = false; ///< not run since it would have waited too long
     session::statement_answer answer;
     std::uint64_t transaction = 0; ///< that is open now; 0: none
 };
--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -12,7 +12,8 @@
 using support::log_event;
 
 group_task::group_task(event_base *base, const work_executor &executor, group_identity identity)
-    : base_(base), executor_(executor), identity_(std::move(identity)), self_(std::make_shared<group_task *>(this))
+    : base_(base), executor_(executor), identity_(std::move(identity)),
+      self_(std::make_shared<group_task *>(this))
 {
 }
 
@@ -30,6 +31,7 @@
             known.pool = make_pool(it, limit);
         }
         known.pool->set_limit(limit);
+        known.pool->set_slots(it.slots);
     }
     for (auto it = members_.begin(); it != members_.end();) {
         if (present.count(it->first)) {
@@ -123,7 +125,8 @@
             continue;
         double cost = it.record.data_centre == identity_.data_centre ? 0 : other_data_centre;
         const auto applied = state_.applied(id);
-        if (needs.floor && applied && *applied < *needs.floor)
+        const bool recent = applied && now - applied->asked_at < behind_time;
+        if (needs.floor && recent && applied->log < *needs.floor)
             cost += behind;
         if (now < it.distrusted_until || !it.pool->reachable(now))
             cost += distrusted;
@@ -210,7 +213,7 @@
 {
     if (!end.log)
         return;
-    state_.observe_applied(id, *end.log);
+    state_.observe_applied(id, *end.log, sent_at);
     state_.observe_primary_log(id, *end.log, sent_at);
 }
 
@@ -282,7 +285,7 @@
                                  pool->release(connection);
                              if (self && report) {
                                  if (answer->end.log)
-                                     (*self)->state_.observe_applied(id, *answer->end.log);
+                                     (*self)->state_.observe_applied(id, *answer->end.log, asked_at);
                                  (*self)->take_report(id, *report, asked_at);
                              }
                              done(report);
--- a/src/proxy/group_task.h
+++ b/src/proxy/group_task.h
@@ -62,6 +62,8 @@
 public:
     /// An instance that fails is avoided for reads this long; a few detection intervals.
     static constexpr std::chrono::milliseconds distrust_time{500};
+    /// A log that was seen behind is tried again after this time: it may have caught up.
+    static constexpr std::chrono::milliseconds behind_time{250};
     /// Confirmations are asked of a second replica when the first has not answered by then.
     static constexpr std::chrono::milliseconds second_replica_after{40};
     /// A question for a report is given up after this time.
--- a/src/proxy/instance_access.cpp
+++ b/src/proxy/instance_access.cpp
@@ -24,15 +24,20 @@
     {
     }
 
-    void run_on_new_connection(const std::shared_ptr<instance_pool> &pool);
-    void run_within(pinned &transaction);
+    /// Runs the work when a slot is free, or refuses it.
+    void schedule(const std::shared_ptr<instance_pool> &pool);
+    void run();
+    void refuse_overloaded(std::chrono::microseconds expected_wait);
+
+    void not_run(std::string reason);
 
 private:
+    void run_on_new_connection();
+    void run_within(pinned &transaction);
     void prepare();
     void begin();
     void send();
     void take(const std::optional<session::statement_answer> &answer);
-    void not_run(std::string reason);
     void lose(work_outcome outcome, std::string reason);
     void finish(inner::work_answer answer);
 
@@ -41,6 +46,7 @@
     inner::work_request request_;
     answer_hook done_;
     time_point give_up_at_;
+    std::uint64_t key_ = 0; ///< at the scheduler; 0: not scheduled
     std::shared_ptr<instance_pool> pool_;
     instance_pool::connection connection_;
 };
@@ -62,13 +68,69 @@
     });
 }
 
-void instance_access::work::run_on_new_connection(const std::shared_ptr<instance_pool> &pool)
+void instance_access::work::schedule(const std::shared_ptr<instance_pool> &pool)
 {
     pool_ = pool;
+    if (request_.id == platform::own_statement_id) { // a question of the proxy's own takes next to no time
+        run();
+        return;
+    }
+    const auto now = clock_type::now();
+    auto &scheduler = state_->schedulers.try_emplace(request_.instance, pool->slots()).first->second;
+    scheduler.set_slots(pool->slots());
+    key_ = ++state_->last_key;
+    admission::slot_request wanted;
+    wanted.key = key_;
+    wanted.priority = request_.priority;
+    wanted.holds_connection = request_.transaction != 0;
+    wanted.label = request_.label;
+    wanted.wait_until = now + (wanted.holds_connection ? request_.time_left : request_.wait_left);
+    switch (scheduler.submit(wanted, now)) {
+    case admission::slot_decision::run:
+        run();
+        return;
+    case admission::slot_decision::wait:
+        state_->waiting[key_] = shared_from_this();
+        return;
+    case admission::slot_decision::refuse:
+        key_ = 0;
+        refuse_overloaded(scheduler.expected_wait(request_.priority));
+        return;
+    }
+}
+
+void instance_access::work::run()
+{
+    if (request_.transaction == 0) {
+        run_on_new_connection();
+        return;
+    }
+    const auto known = state_->transactions.find(request_.transaction);
+    if (known == state_->transactions.end() || known->second.owner != owner_ || known->second.running)
+        not_run("the transaction is not open here");
+    else
+        run_within(known->second);
+}
+
+void instance_access::work::refuse_overloaded(std::chrono::microseconds expected_wait)
+{
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(expected_wait).count();
+    const auto &scheduler = state_->schedulers.at(request_.instance);
+    finish({work_outcome::not_run,
+            "the instance " + request_.instance + " is busy for " + std::to_string(wait) + " ms, with " +
+                std::to_string(scheduler.running()) + " statements running and " +
+                std::to_string(scheduler.waiting()) + " waiting",
+            true,
+            {},
+            0});
+}
+
+void instance_access::work::run_on_new_connection()
+{
     const auto self = shared_from_this();
     const connection_request wanted{
         request_.priority, clock_type::now() + request_.wait_left, {self, &request_.values}};
-    pool->acquire(wanted, [self](const auto &connection, auto reason) {
+    pool_->acquire(wanted, [self](const auto &connection, auto reason) {
         if (!connection) {
             self->not_run(reason == no_connection::waited_too_long ? "all connections are in use"
                                                                    : "the instance takes no connections");
@@ -150,7 +212,7 @@
         }
         if (answer->error) {
             return_connection(self->pool_, self->connection_);
-            self->finish({work_outcome::answered, {}, *answer, 0});
+            self->finish({work_outcome::answered, {}, false, *answer, 0});
             return;
         }
         self->send();
@@ -175,7 +237,7 @@
     }
     if (answer->error && answer->error->code == session::answer_code::unknown_name && request_.prepared)
         connection_->prepared.erase(request_.prepared->shared_name());
-    inner::work_answer out{work_outcome::answered, {}, *answer, 0};
+    inner::work_answer out{work_outcome::answered, {}, false, *answer, 0};
     const bool open = answer->end.state == transaction_state::open;
     if (open && (request_.begin != begin_mode::none || request_.transaction != 0)) {
         out.transaction = request_.transaction != 0 ? request_.transaction : ++state_->last_transaction;
@@ -189,19 +251,25 @@
 
 void instance_access::work::not_run(std::string reason)
 {
-    finish({work_outcome::not_run, std::move(reason), {}, 0});
+    finish({work_outcome::not_run, std::move(reason), false, {}, 0});
 }
 
 void instance_access::work::lose(work_outcome outcome, std::string reason)
 {
     pool_->drop(connection_);
     state_->transactions.erase(request_.transaction);
-    finish({outcome, std::move(reason), {}, 0});
+    finish({outcome, std::move(reason), false, {}, 0});
 }
 
 void instance_access::work::finish(inner::work_answer answer)
 {
     connection_.reset();
+    const auto scheduler = state_->schedulers.find(request_.instance);
+    if (key_ != 0 && scheduler != state_->schedulers.end()) {
+        const auto now = clock_type::now();
+        scheduler->second.finished(key_, answer.outcome == work_outcome::answered, now);
+        start_waiting(*state_, scheduler->second, now);
+    }
     const auto done = std::move(done_);
     done_ = nullptr;
     if (done)
@@ -210,23 +278,42 @@
 
 void instance_access::execute(std::uint64_t owner, inner::work_request request, answer_hook done)
 {
-    const auto transaction = request.transaction;
-    const auto pool = pools_(request.service, request.instance);
-    const auto it = std::make_shared<work>(state_, owner, std::move(request), done);
-    if (transaction != 0) {
-        const auto known = state_->transactions.find(transaction);
-        if (known == state_->transactions.end() || known->second.owner != owner || known->second.running) {
-            done({work_outcome::not_run, "the transaction is not open here", {}, 0});
-            return;
-        }
-        it->run_within(known->second);
-        return;
+    auto pool = pools_(request.service, request.instance);
+    const auto open = state_->transactions.find(request.transaction);
+    if (!pool && open != state_->transactions.end())
+        pool = open->second.pool; // it has left the list and ends what it has
+    const auto it = std::make_shared<work>(state_, owner, std::move(request), std::move(done));
+    if (pool)
+        it->schedule(pool);
+    else
+        it->not_run("the instance is not known");
+}
+
+void instance_access::start_waiting(shared_state &state, admission::slot_scheduler &scheduler, time_point now)
+{
+    for (const auto key : scheduler.next(now)) {
+        const auto it = state.waiting.find(key);
+        if (it == state.waiting.end())
+            continue;
+        const auto next = it->second;
+        state.waiting.erase(it);
+        next->run();
     }
-    if (!pool) {
-        done({work_outcome::not_run, "the instance is not known", {}, 0});
-        return;
+}
+
+void instance_access::tick(time_point now, std::chrono::milliseconds limit)
+{
+    end_unused(now, limit);
+    for (auto &[instance, scheduler] : state_->schedulers) {
+        for (const auto key : scheduler.expired(now)) {
+            const auto it = state_->waiting.find(key);
+            if (it == state_->waiting.end())
+                continue;
+            const auto late = it->second;
+            state_->waiting.erase(it);
+            late->refuse_overloaded(scheduler.expected_wait(0));
+        }
     }
-    it->run_on_new_connection(pool);
 }
 
 void instance_access::end_transaction(std::uint64_t transaction)
@@ -237,7 +324,7 @@
     const auto ended = std::move(it->second);
     state_->transactions.erase(it);
     if (ended.running)
-        ended.pool->drop(ended.connection); // rolls back whatever it is doing
+        ended.connection->end_without_answer(); // rolls back whatever it is doing
     else
         return_connection(ended.pool, ended.connection);
 }
--- a/src/proxy/instance_access.h
+++ b/src/proxy/instance_access.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "admission/slot_scheduler.h"
 #include "inner/work_messages.h"
 #include "proxy/instance_pool.h"
 
@@ -38,8 +39,8 @@
     /// Rolls back all transactions of an owner that is gone.
     void end_owner(std::uint64_t owner);
 
-    /// Rolls back transactions that nobody has used for `limit`.
-    void end_unused(time_point now, std::chrono::milliseconds limit);
+    /// Rolls back transactions that nobody has used for `limit`, and refuses what has waited too long.
+    void tick(time_point now, std::chrono::milliseconds limit);
 
     [[nodiscard]] std::size_t open_transactions() const { return state_->transactions.size(); }
 
@@ -52,13 +53,19 @@
         time_point used_at;
         bool running = false; ///< a statement is in progress
     };
+    class work;
     /// Shared with the statements in progress, which may outlive the object.
     struct shared_state
     {
         std::map<std::uint64_t, pinned> transactions;
         std::uint64_t last_transaction = 0;
+        std::map<std::string, admission::slot_scheduler> schedulers; ///< by instance
+        std::map<std::uint64_t, std::shared_ptr<work>> waiting;      ///< for a slot, by key
+        std::uint64_t last_key = 0;
     };
-    class work;
+
+    static void start_waiting(shared_state &state, admission::slot_scheduler &scheduler, time_point now);
+    void end_unused(time_point now, std::chrono::milliseconds limit);
 
     pool_hook pools_;
     std::shared_ptr<shared_state> state_ = std::make_shared<shared_state>();
--- a/src/proxy/instance_pool.h
+++ b/src/proxy/instance_pool.h
@@ -79,6 +79,10 @@
 
     void set_limit(std::uint32_t limit) { limit_ = limit; }
 
+    /// Statements that the instance runs at the same time.
+    void set_slots(std::uint32_t slots) { slots_ = slots; }
+    [[nodiscard]] std::uint32_t slots() const { return slots_; }
+
     /// Ends all idle connections and refuses what waits; connections in use end when they come back.
     void retire();
 
@@ -115,6 +119,7 @@
     event_base *base_;
     upstream_target target_;
     std::uint32_t limit_;
+    std::uint32_t slots_ = 1;
     evidence_hooks evidence_;
     std::vector<idle_connection> idle_;
     std::vector<connection> all_; ///< open or opening
--- a/src/proxy/peer_task.cpp
+++ b/src/proxy/peer_task.cpp
@@ -91,7 +91,7 @@
     auto request = inner::decode_work_request(body);
     if (kind != message_kind::work || !request) {
         support::log_warning("peer_message_unreadable", {{"bytes", std::to_string(body.size())}});
-        reply(inner::encode(inner::work_answer{work_outcome::not_run, "unreadable request", {}, 0}));
+        reply(inner::encode(inner::work_answer{work_outcome::not_run, "unreadable request", false, {}, 0}));
         return;
     }
     access_.execute(owner, std::move(*request),
@@ -176,7 +176,11 @@
         health.next_avoidance = std::min(health.next_avoidance * 2, avoid_longest);
     }
     const bool lost = outcome.answered || outcome.may_have_arrived;
-    done({lost ? work_outcome::lost : work_outcome::not_run, "the process " + vm + " did not answer", {}, 0});
+    done({lost ? work_outcome::lost : work_outcome::not_run,
+          "the process " + vm + " did not answer",
+          false,
+          {},
+          0});
 }
 
 void peer_task::end_transaction(const std::string &vm, std::uint64_t transaction)
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -217,7 +217,7 @@
 
 void proxy_task::tick_peers(time_point now)
 {
-    access_.end_unused(now, routes_.state().transaction_idle * 2);
+    access_.tick(now, routes_.state().transaction_idle * 2);
     if (!duty_)
         return;
     if (!peers_ && !duty_->peer_key().empty()) {
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -163,8 +163,9 @@
     work.service = group_->identity().service;
     work.instance = instance;
     work.priority = request_.route->priority;
+    work.label = request_.route->name + (request_.writes ? "/w" : "/r");
     work.time_left = left(deadline_);
-    work.wait_left = left(wait_limit_);
+    work.wait_left = left(slot_wait_until(sent_at_));
     work.values = session_->values();
     work.prepared = request_.prepared;
     work.id = request_.id;
@@ -228,7 +229,11 @@
     if (may_have_run && request_.writes && !within_)
         return fail(answer_code::in_doubt, "the answer to the write was lost: " + answer.reason);
     stage_ = stage::waiting;
-    retry(may_have_run ? std::chrono::milliseconds(0) : busy_delay);
+    if (answer.overloaded && ++overloads_ >= (needs_primary() ? 1 : max_overloads))
+        return refuse(answer.reason);
+    retry(answer.overloaded ? std::chrono::milliseconds(0)
+          : may_have_run    ? std::chrono::milliseconds(0)
+                            : busy_delay);
 }
 
 void statement_run::take_error(const session::failure &error)
@@ -299,6 +304,14 @@
     });
 }
 
+time_point statement_run::slot_wait_until(time_point now) const
+{
+    const auto target = request_.route->target_latency;
+    const auto by_target = request_.arrived_at + share_of(target, slot_wait_share);
+    const auto at_least = attempts_ > 1 ? now + share_of(target, repeat_wait_share) : now;
+    return std::min(deadline_, std::max(by_target, at_least));
+}
+
 void statement_run::retry(std::chrono::milliseconds delay)
 {
     stage_ = stage::waiting;
@@ -311,7 +324,7 @@
         return;
     }
     if (attempts_ > 0)
-        wait_limit_ = deadline_;
+        wait_limit_ = deadline_; // for a primary or a floor; slots have a limit of their own
     retry_timer_ = std::make_unique<inner::timer>(base_, [self = shared_from_this()] {
         if (self->stage_ == stage::waiting && !self->abandoned_)
             self->choose();
@@ -319,12 +332,11 @@
     retry_timer_->start(delay);
 }
 
-void statement_run::refuse(const char *reason)
+void statement_run::refuse(const std::string &reason)
 {
     // Nothing of this statement has run, or only a read has.
     constexpr const char *come_back = "; retry in 100 ms";
-    fail(within_ && within_->forwarded ? answer_code::aborted : answer_code::busy,
-         std::string(reason) + come_back);
+    fail(within_ && within_->forwarded ? answer_code::aborted : answer_code::busy, reason + come_back);
 }
 
 void statement_run::fail(answer_code code, std::string text)
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -68,10 +68,17 @@
     /// Part of a statement's time that it may wait for an instance before it is refused; the rest is
     /// left to the caller's own repeats, of which two are usual.
     static constexpr double wait_share = 0.3;
+    /// Part of the target latency that a statement may wait for a slot: a later answer is worth little, and
+    /// what waits longer only makes others late.
+    static constexpr double slot_wait_share = 0.75;
+    /// A statement that was sent elsewhere in vain may wait at least this part of the target latency.
+    static constexpr double repeat_wait_share = 0.3;
     /// Taken off a route's staleness, for the time between a read's first byte and its arrival here.
     static constexpr std::chrono::milliseconds staleness_margin{150};
     /// Pause before a busy instance is asked again; about one statement's work.
     static constexpr std::chrono::milliseconds busy_delay{12};
+    /// A read that this many instances are too busy for is refused.
+    static constexpr int max_overloads = 2;
     /// Instances that one statement is offered to, at most.
     static constexpr int max_attempts = 8;
 
@@ -112,8 +119,9 @@
     void take_error(const session::failure &error);
     void take_success(const session::statement_answer &answer);
     void confirm(time_point since);
+    [[nodiscard]] time_point slot_wait_until(time_point now) const;
     void retry(std::chrono::milliseconds delay);
-    void refuse(const char *reason);
+    void refuse(const std::string &reason);
     void fail(session::answer_code code, std::string text);
     void finish();
 
@@ -128,6 +136,7 @@
     time_point deadline_;
     time_point wait_limit_;
     int attempts_ = 0;
+    int overloads_ = 0;
     std::set<std::string> tried_;
     std::string vm_;       ///< the process that runs it; empty: this one
     std::string instance_; ///< that it was last sent to
--- a/src/replication/group_state.cpp
+++ b/src/replication/group_state.cpp
@@ -51,10 +51,9 @@
         add_sample(log, asked_at);
 }
 
-void group_state::observe_applied(const std::string &id, position log)
+void group_state::observe_applied(const std::string &id, position log, time_point asked_at)
 {
-    auto &known = applied_[id];
-    known = log;
+    applied_[id] = {asked_at, log};
 }
 
 void group_state::observe_primary_log(const std::string &id, position log, time_point asked_at)
@@ -94,7 +93,7 @@
     return samples_.empty() ? std::nullopt : std::optional(samples_.back());
 }
 
-std::optional<position> group_state::applied(const std::string &id) const
+std::optional<group_state::sample> group_state::applied(const std::string &id) const
 {
     const auto it = applied_.find(id);
     if (it == applied_.end())
--- a/src/replication/group_state.h
+++ b/src/replication/group_state.h
@@ -47,7 +47,7 @@
     void adopt_primary(const std::string &id, std::uint64_t term, position log, time_point asked_at);
 
     /// Takes in how far an instance's log was applied when it answered a statement.
-    void observe_applied(const std::string &id, position log);
+    void observe_applied(const std::string &id, position log, time_point asked_at);
 
     /// Takes in the primary's log position in an answer to a statement sent at that time.
     void observe_primary_log(const std::string &id, position log, time_point asked_at);
@@ -83,8 +83,8 @@
     /// Returns the newest position that the present primary showed, or none.
     [[nodiscard]] std::optional<sample> latest_sample() const;
 
-    /// Returns how far the instance's log is known to be applied, or none.
-    [[nodiscard]] std::optional<position> applied(const std::string &id) const;
+    /// Returns how far the instance's log was applied when it last answered, or none.
+    [[nodiscard]] std::optional<sample> applied(const std::string &id) const;
 
     /// Returns the last report of the instance, or null.
     [[nodiscard]] const member_report *report_of(const std::string &id) const;
@@ -94,7 +94,7 @@
     void add_sample(position log, time_point asked_at);
 
     std::map<std::string, member_report> reports_;
-    std::map<std::string, position> applied_;
+    std::map<std::string, sample> applied_;
     std::optional<std::string> primary_;
     std::uint64_t term_ = 0; ///< never falls
     time_point confirmed_at_;
