--- a/src/proxy/settings_file.cpp
+++ b/src/proxy/settings_file.cpp
@@ -55,11 +55,14 @@
 std::optional<proxy_settings> read_proxy_settings(const std::string &text, std::string &reason)
 {
     support::field_error syntax;
-    const auto object = support::parse_json_object(text, syntax);
+    auto object = support::parse_json_object(text, syntax);
     if (!object) {
         reason = syntax.text();
         return std::nullopt;
     }
+    // The template writes an empty text for what the VM does not have.
+    for (auto it = object->begin(); it != object->end();)
+        it = *it == "" ? object->erase(it) : std::next(it);
     std::optional<support::field_error> error;
     support::json_fields fields(*object, "", error);
     proxy_settings out;
--- /dev/null
+++ b/tests/admission/test_slot_scheduler.cpp
@@ -0,0 +1,90 @@
+// Slots stay busy, the urgent go first, and what cannot be done in time is refused at once.
+
+#include "admission/slot_scheduler.h"
+
+#include <catch2/catch.hpp>
+
+using namespace baobabport::admission;
+using std::chrono::milliseconds;
+
+namespace {
+
+const time_point start{std::chrono::hours(1)};
+
+slot_request make(std::uint64_t key, std::uint32_t priority, milliseconds wait, const char *label = "r")
+{
+    return {key, priority, false, label, start + wait};
+}
+
+/// A scheduler that has learned that statements take 10 ms, with all places taken.
+slot_scheduler full()
+{
+    slot_scheduler out(2);
+    for (std::uint64_t n = 1000; n < 1100; ++n) {
+        out.submit(make(n, 1, milliseconds(100)), start - milliseconds(10));
+        out.finished(n, true, start);
+    }
+    for (std::uint64_t n = 1; n <= 2 + slot_scheduler::on_the_way; ++n)
+        REQUIRE(out.submit(make(n, 1, milliseconds(100)), start) == slot_decision::run);
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("statements run while there is room, then wait, then run in turn")
+{
+    auto it = full();
+    CHECK(it.submit(make(10, 1, milliseconds(100)), start) == slot_decision::wait);
+    CHECK(it.next(start).empty());
+    it.finished(1, true, start + milliseconds(10));
+    CHECK(it.next(start + milliseconds(10)) == std::vector<std::uint64_t>{10});
+}
+
+TEST_CASE("the most urgent goes first, and an open transaction before all")
+{
+    auto it = full();
+    it.submit(make(10, 2, milliseconds(500), "sheet"), start);
+    it.submit(make(11, 1, milliseconds(500), "booking"), start);
+    auto open = make(12, 2, milliseconds(500), "log");
+    open.holds_connection = true;
+    it.submit(open, start);
+    std::vector<std::uint64_t> order;
+    for (std::uint64_t n = 1; n <= 3; ++n) {
+        it.finished(n, true, start + milliseconds(10));
+        for (const auto key : it.next(start + milliseconds(10)))
+            order.push_back(key);
+    }
+    CHECK(order == std::vector<std::uint64_t>{12, 11, 10});
+}
+
+TEST_CASE("a statement that would wait beyond its time is refused at once")
+{
+    auto it = full();
+    std::uint64_t key = 10;
+    while (it.submit(make(key, 1, milliseconds(60)), start) == slot_decision::wait)
+        ++key;
+    CHECK(key > 14); // several fit into 60 ms
+    CHECK(key < 30); // and not any number
+    CHECK(it.submit(make(key, 1, milliseconds(500)), start) == slot_decision::wait);
+    auto open = make(99, 1, milliseconds(1));
+    open.holds_connection = true;
+    CHECK(it.submit(open, start) == slot_decision::wait); // its end frees what others wait for
+}
+
+TEST_CASE("what has waited too long is named once")
+{
+    auto it = full();
+    it.submit(make(10, 1, milliseconds(50)), start);
+    CHECK(it.expired(start + milliseconds(49)).empty());
+    CHECK(it.expired(start + milliseconds(51)) == std::vector<std::uint64_t>{10});
+    CHECK(it.expired(start + milliseconds(52)).empty());
+    CHECK(it.waiting() == 0);
+}
+
+TEST_CASE("an end that is told twice frees one place")
+{
+    auto it = full();
+    it.finished(1, false, start);
+    it.finished(1, false, start);
+    CHECK(it.running() == 2);
+}
--- /dev/null
+++ b/tests/directory/test_directory.cpp
@@ -0,0 +1,103 @@
+// Desired states never go back, and a missing record is judged by the store's own outages.
+
+#include "directory/instance_directory.h"
+#include "directory/route_table.h"
+
+#include <catch2/catch.hpp>
+
+using namespace baobabport::directory;
+using std::chrono::milliseconds;
+
+namespace {
+
+const time_point start{std::chrono::hours(1)};
+
+instance_record make(const std::string &id, int port = 1, int started = 5)
+{
+    instance_record out;
+    out.id = id;
+    out.service = "db";
+    out.at = {"10.0.0.1", static_cast<std::uint16_t>(port)};
+    out.started_at = milliseconds(started);
+    return out;
+}
+
+desired_state with_route(std::uint64_t version, const std::string &database)
+{
+    desired_state out;
+    out.version = version;
+    out.routes.push_back({"r", database, "db"});
+    out.services.push_back({"db", 16, 0});
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("an older or equal desired state is not applied")
+{
+    route_table routes;
+    CHECK_FALSE(routes.loaded());
+    CHECK(routes.apply(with_route(7, "old")));
+    CHECK(routes.apply(with_route(11, "new")));
+    CHECK_FALSE(routes.apply(with_route(11, "old")));
+    CHECK_FALSE(routes.apply(with_route(9, "old")));
+    CHECK(routes.version() == 11);
+    CHECK(routes.find("new"));
+    CHECK_FALSE(routes.find("old"));
+    CHECK(routes.find_service("db")->max_connections == 16);
+    CHECK(routes.find_service("other") == nullptr);
+}
+
+TEST_CASE("a route in use outlives its removal")
+{
+    route_table routes;
+    routes.apply(with_route(1, "a"));
+    const auto in_use = routes.find("a");
+    routes.apply(with_route(2, "b"));
+    CHECK(in_use->database == "a");
+}
+
+TEST_CASE("records that come, change and go are told apart")
+{
+    instance_directory instances;
+    auto change = instances.take({make("a"), make("b")}, start);
+    CHECK(change.joined.size() == 2);
+
+    auto leaving = make("a");
+    leaving.state = instance_state::draining;
+    change = instances.take({leaving, make("b", 1, 6)}, start + milliseconds(1000));
+    CHECK(change.draining == std::vector<std::string>{"a"});
+    CHECK(change.restarted == std::vector<std::string>{"b"});
+
+    change = instances.take({leaving, make("b", 2, 6)}, start + milliseconds(2000));
+    CHECK(change.restarted == std::vector<std::string>{"b"}); // at another address
+    CHECK(change.draining.empty());
+
+    change = instances.take({make("b", 2, 6)}, start + milliseconds(3000));
+    CHECK(change.left == std::vector<std::string>{"a"});
+    CHECK(instances.find("a") == nullptr);
+    CHECK(instances.of_service("db").size() == 1);
+    CHECK(instances.of_service("other").empty());
+}
+
+TEST_CASE("a restarted instance that leaves is reported as leaving again")
+{
+    instance_directory instances;
+    auto record = make("a", 1, 5);
+    record.state = instance_state::draining;
+    instances.take({record}, start);
+    record.started_at = milliseconds(6);
+    CHECK(instances.take({record}, start + milliseconds(100)).draining.size() == 1);
+}
+
+TEST_CASE("a record missing just after an outage of the store is waited for")
+{
+    instance_directory instances;
+    instances.take({make("a"), make("b")}, start);
+    const auto back = start + instance_directory::outage_after + milliseconds(1000);
+    CHECK(instances.take({make("b")}, back).left.empty());
+    CHECK(instances.find("a") != nullptr);
+    CHECK(instances.take({make("b")}, back + milliseconds(1200)).left.empty());
+    const auto later = back + instance_directory::return_grace;
+    CHECK(instances.take({make("b")}, later).left == std::vector<std::string>{"a"});
+}
--- /dev/null
+++ b/tests/failover/test_switchover.cpp
@@ -0,0 +1,202 @@
+// When a primary is replaced, by whom, and in which order.
+
+#include "failover/switchover.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace baobabport::failover;
+using baobabport::consistency::instance_role;
+using baobabport::replication::member_report;
+
+namespace {
+
+const time_point start{std::chrono::hours(1)};
+
+time_point after(milliseconds time)
+{
+    return start + time;
+}
+
+member_view make(const std::string &id, instance_role role, std::uint64_t offset)
+{
+    member_view out;
+    out.id = id;
+    out.report = member_report{role, 1, {1, offset}, 0, 0, 0};
+    return out;
+}
+
+/// A group of three whose primary `a` is well.
+group_snapshot healthy()
+{
+    group_snapshot out;
+    out.members = {make("a", instance_role::primary, 10), make("b", instance_role::replica, 9),
+                   make("c", instance_role::replica, 10)};
+    out.primary = "a";
+    out.term = 1;
+    return out;
+}
+
+group_snapshot silent(milliseconds time)
+{
+    auto out = healthy();
+    out.members[0].silent_for = time;
+    return out;
+}
+
+bool has(const std::vector<action> &actions, action_kind kind, const std::string &instance)
+{
+    return std::any_of(actions.begin(), actions.end(),
+                       [&](const auto &it) { return it.kind == kind && it.instance == instance; });
+}
+
+std::uint64_t pause_term(const std::vector<action> &actions)
+{
+    return actions.empty() ? 0 : actions.front().term;
+}
+
+void pause_both(switchover &it, std::uint64_t term)
+{
+    it.paused("b", {instance_role::replica, 1, {1, 9}, term, 0, 0});
+    it.paused("c", {instance_role::replica, 1, {1, 10}, term, 0, 0});
+}
+
+} // namespace
+
+TEST_CASE("a primary that answers is left alone")
+{
+    switchover it;
+    CHECK(it.step(healthy(), start).empty());
+    CHECK(it.step(silent(switchover::silence_limit - milliseconds(1)), start).empty());
+    CHECK(it.current() == switchover::phase::idle);
+}
+
+TEST_CASE("a silent primary is replaced by the replica that is furthest ahead")
+{
+    switchover it;
+    auto group = silent(switchover::silence_limit);
+    const auto pauses = it.step(group, start);
+    CHECK(has(pauses, action_kind::pause, "b"));
+    CHECK(has(pauses, action_kind::pause, "c"));
+    CHECK_FALSE(has(pauses, action_kind::pause, "a"));
+    pause_both(it, pause_term(pauses));
+    CHECK(has(it.step(group, after(milliseconds(20))), action_kind::promote, "c"));
+    it.promoted(promotion_result::accepted, after(milliseconds(30)));
+
+    group.members[2].report = member_report{instance_role::primary, 2, {2, 10}, 0, 0, 0};
+    group.members[1].report->paused_at = 2;
+    group.primary = "c";
+    group.term = 2;
+    const auto settle = it.step(group, after(milliseconds(700)));
+    CHECK(has(settle, action_kind::step_down, "a"));
+    CHECK_FALSE(has(settle, action_kind::resume, "b")); // `a` may still lead for those who reach it
+
+    group.members[0].report->role = instance_role::replica;
+    CHECK(has(it.step(group, after(milliseconds(800))), action_kind::resume, "b"));
+    group.members[1].report->paused_at = 0;
+    it.step(group, after(milliseconds(900)));
+    CHECK(it.current() == switchover::phase::idle);
+}
+
+TEST_CASE("nothing is promoted while a lease on the primary is in force")
+{
+    switchover it;
+    auto group = silent(switchover::silence_limit);
+    group.leases_ended = false;
+    pause_both(it, pause_term(it.step(group, start)));
+    const auto now = after(milliseconds(100));
+    CHECK_FALSE(has(it.step(group, now), action_kind::promote, "c"));
+    group.leases_ended = true;
+    CHECK(has(it.step(group, now + switchover::repeat_interval), action_kind::promote, "c"));
+}
+
+TEST_CASE("replicas are not paused while an earlier holder's work may be in force")
+{
+    switchover it;
+    auto group = silent(switchover::silence_limit);
+    group.settled = false;
+    CHECK(it.step(group, start).empty());
+    group.settled = true;
+    CHECK_FALSE(it.step(group, start).empty());
+}
+
+TEST_CASE("a replica that cannot be paused forbids a promotion")
+{
+    switchover it;
+    const auto group = silent(switchover::silence_limit);
+    const auto term = pause_term(it.step(group, start));
+    it.paused("c", {instance_role::replica, 1, {1, 10}, term, 0, 0});
+    CHECK_FALSE(has(it.step(group, after(switchover::pause_limit / 2)), action_kind::promote, "c"));
+    const auto given_up = it.step(group, after(switchover::pause_limit));
+    CHECK(has(given_up, action_kind::resume, "c"));
+    CHECK(it.current() == switchover::phase::idle);
+    CHECK(it.step(group, after(switchover::pause_limit + milliseconds(1))).empty()); // not at once again
+}
+
+TEST_CASE("a primary whose address refuses connections needs only one paused replica")
+{
+    switchover it;
+    auto group = silent(switchover::refusal_limit);
+    group.members[0].refuses = true;
+    const auto term = pause_term(it.step(group, start));
+    it.paused("b", {instance_role::replica, 1, {1, 9}, term, 0, 0});
+    CHECK_FALSE(has(it.step(group, after(milliseconds(10))), action_kind::promote, "b"));
+    CHECK(has(it.step(group, after(switchover::pause_limit / 2)), action_kind::promote, "b"));
+}
+
+TEST_CASE("a pause that a later one replaced does not count")
+{
+    switchover it;
+    auto group = silent(switchover::silence_limit);
+    group.members[1].report->paused_at = 6; // by another process
+    const auto pauses = it.step(group, start);
+    CHECK(pause_term(pauses) == 7);
+    pause_both(it, 6);
+    CHECK_FALSE(has(it.step(group, after(milliseconds(70))), action_kind::promote, "c"));
+}
+
+TEST_CASE("a leaving primary is replaced at once, a group without one after a while")
+{
+    auto group = healthy();
+    group.members[0].leaving = true;
+    switchover planned;
+    CHECK(has(planned.step(group, start), action_kind::pause, "b"));
+
+    group = healthy();
+    group.primary.reset();
+    group.members[0].report->role = instance_role::replica;
+    switchover leaderless;
+    CHECK(leaderless.step(group, start).empty());
+    CHECK(has(leaderless.step(group, after(switchover::leaderless_limit)), action_kind::pause, "a"));
+}
+
+TEST_CASE("an instance that the platform does not know is passed over")
+{
+    switchover it;
+    const auto group = silent(switchover::silence_limit);
+    pause_both(it, pause_term(it.step(group, start)));
+    CHECK(has(it.step(group, after(milliseconds(10))), action_kind::promote, "c"));
+    it.promoted(promotion_result::absent, after(milliseconds(20)));
+    CHECK(has(it.step(group, after(milliseconds(200))), action_kind::promote, "b"));
+}
+
+TEST_CASE("an order without answer is repeated")
+{
+    switchover it;
+    const auto group = silent(switchover::silence_limit);
+    pause_both(it, pause_term(it.step(group, start)));
+    it.step(group, after(milliseconds(10)));
+    CHECK(it.step(group, after(milliseconds(300))).empty()); // one order at a time
+    it.promoted(promotion_result::uncertain, after(milliseconds(400)));
+    CHECK(has(it.step(group, after(milliseconds(500))), action_kind::promote, "c"));
+}
+
+TEST_CASE("a replica that stays paused beside a healthy primary is resumed")
+{
+    switchover it;
+    auto group = healthy();
+    group.members[1].report->paused_at = 9;
+    CHECK(it.step(group, start).empty());
+    CHECK(it.step(group, after(switchover::orphan_limit - milliseconds(1))).empty());
+    CHECK(has(it.step(group, after(switchover::orphan_limit)), action_kind::resume, "b"));
+}
--- /dev/null
+++ b/tests/inner/test_proxy_messages.cpp
@@ -0,0 +1,102 @@
+// Leases and work travel whole, and other bytes are refused.
+
+#include "inner/lease_messages.h"
+#include "inner/work_messages.h"
+
+#include <catch2/catch.hpp>
+
+using namespace baobabport;
+using namespace baobabport::inner;
+using std::chrono::milliseconds;
+
+TEST_CASE("lease messages are read as they were written")
+{
+    lease_request request;
+    request.generation = 4;
+    request.number = 17;
+    request.store_silent_for = milliseconds(12);
+    request.members_known = 9;
+    request.vm = "front-1";
+    request.data_centre = "erie";
+    const auto read = decode_lease_request(encode(request));
+    REQUIRE(read);
+    CHECK(read->generation == 4);
+    CHECK(read->number == 17);
+    CHECK(read->store_silent_for == milliseconds(12));
+    CHECK(read->members_known == 9);
+    CHECK(read->vm == "front-1");
+    CHECK(read->data_centre == "erie");
+
+    lease_answer answer;
+    answer.generation = 4;
+    answer.number = 17;
+    answer.leases.push_back({"db", "i-1", 3, {3, 99}, milliseconds(7), false});
+    answer.members_version = 10;
+    answer.members.push_back({"front-1", "erie", "10.0.0.1:1"});
+    const auto back = decode_lease_answer(encode(answer));
+    REQUIRE(back);
+    REQUIRE(back->leases.size() == 1);
+    CHECK(back->leases[0].primary == "i-1");
+    CHECK(back->leases[0].log == consistency::position{3, 99});
+    CHECK(back->leases[0].log_age == milliseconds(7));
+    CHECK_FALSE(back->leases[0].granted);
+    CHECK(back->members == answer.members);
+    CHECK_FALSE(decode_lease_request(encode(answer)));
+    CHECK_FALSE(decode_lease_answer(encode(request)));
+}
+
+TEST_CASE("work messages are read as they were written")
+{
+    work_request request;
+    request.service = "db";
+    request.instance = "i-1";
+    request.priority = 2;
+    request.label = "route/r";
+    request.time_left = milliseconds(800);
+    request.wait_left = milliseconds(90);
+    request.values = {{"zone", "a b"}};
+    request.prepared = session::prepared_statement{true, "q2c"};
+    request.begin = begin_mode::read_only;
+    request.floor = consistency::position{1, 2};
+    request.transaction = 5;
+    request.id = "abc";
+    request.text = "EXECUTE w_q2c 1a4 x y";
+    const auto read = decode_work_request(encode(request));
+    REQUIRE(read);
+    CHECK(read->values == request.values);
+    CHECK(*read->prepared == *request.prepared);
+    CHECK(read->begin == begin_mode::read_only);
+    CHECK(*read->floor == *request.floor);
+    CHECK(read->transaction == 5);
+    CHECK(read->text == request.text);
+    CHECK(read->label == request.label);
+    CHECK(read->wait_left == milliseconds(90));
+
+    work_answer answer;
+    answer.outcome = work_outcome::answered;
+    answer.answer.rows = {"one", ""};
+    answer.answer.error = session::failure{session::answer_code::read_only, "i-1"};
+    answer.answer.end = {session::transaction_state::failed, consistency::position{3, 4}};
+    answer.transaction = 6;
+    answer.overloaded = true;
+    const auto back = decode_work_answer(encode(answer));
+    REQUIRE(back);
+    CHECK(back->answer.rows == answer.answer.rows);
+    CHECK(back->answer.error->code == session::answer_code::read_only);
+    CHECK(back->answer.end.state == session::transaction_state::failed);
+    CHECK(*back->answer.end.log == consistency::position{3, 4});
+    CHECK(back->transaction == 6);
+    CHECK(back->overloaded);
+    CHECK(decode_work_end(encode(work_end{7}))->transaction == 7);
+}
+
+TEST_CASE("bytes that are no message are refused")
+{
+    const auto whole = encode(work_request{});
+    for (std::size_t n = 0; n < whole.size(); ++n) {
+        CHECK_FALSE(decode_work_request(whole.substr(0, n)));
+        CHECK_FALSE(decode_lease_request(whole.substr(0, n)));
+    }
+    CHECK_FALSE(decode_work_answer("\xff\xff"));
+    CHECK_FALSE(decode_work_end(""));
+}
--- /dev/null
+++ b/tests/platform/test_line_codec.cpp
@@ -0,0 +1,100 @@
+// The line protocol, read in any pieces, and nothing taken for what it is not.
+
+#include "platform/line_codec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace baobabport;
+using namespace baobabport::platform;
+using session::answer_code;
+using session::transaction_state;
+
+TEST_CASE("lines come whole, however their bytes arrive")
+{
+    const std::string bytes = "CONNECT a b\r\nQUERY 1 READ x\nQUIT\r\nREST";
+    for (std::size_t step = 1; step <= bytes.size(); ++step) {
+        line_reader reader;
+        std::vector<std::string> lines;
+        for (std::size_t n = 0; n < bytes.size(); n += step) {
+            reader.append(bytes.substr(n, step));
+            while (const auto line = reader.next())
+                lines.push_back(*line);
+        }
+        CHECK(lines == std::vector<std::string>{"CONNECT a b", "QUERY 1 READ x", "QUIT"});
+    }
+}
+
+TEST_CASE("a line longer than a message may be is noticed before it ends")
+{
+    line_reader reader;
+    reader.append(std::string(max_message, 'x'));
+    CHECK_FALSE(reader.next());
+    CHECK_FALSE(reader.overflowed());
+    reader.append("y");
+    CHECK(reader.overflowed());
+}
+
+TEST_CASE("callers' messages")
+{
+    const auto open = std::get<session::open_session>(read_caller_line("CONNECT lepu270 u3f1"));
+    CHECK(open.database == "lepu270");
+    CHECK(open.caller == "u3f1");
+    const auto statement = std::get<session::statement_request>(read_caller_line("QUERY 5c0e WRITE 1 a b"));
+    CHECK(statement.id == "5c0e");
+    CHECK(statement.text == "WRITE 1 a b");
+    CHECK(std::holds_alternative<session::close_session>(read_caller_line("QUIT")));
+    for (const auto *const line : {"", "QUERY", "QUERY 5c0e", "CONNECT", "READY I -", "query 1 READ x"})
+        CHECK(std::holds_alternative<session::unreadable>(read_caller_line(line)));
+}
+
+TEST_CASE("instances' messages")
+{
+    CHECK(std::get<session::row>(read_instance_line("ROW a  b ")).data == "a  b ");
+    CHECK(std::get<session::success>(read_instance_line("COMPLETE 7.1f3.c")).receipt == "7.1f3.c");
+    const auto error = std::get<session::failure>(read_instance_line("ERROR READONLY i-7f3a"));
+    CHECK(error.code == answer_code::read_only);
+    CHECK(error.text == "i-7f3a");
+    const auto ready = std::get<session::prompt>(read_instance_line("READY E 3.1209"));
+    CHECK(ready.state == transaction_state::failed);
+    CHECK(*ready.log == consistency::position{3, 1209});
+    CHECK_FALSE(std::get<session::prompt>(read_instance_line("READY I -")).log);
+    for (const auto *const line :
+         {"", "ERROR", "ERROR WHAT x", "READY X -", "READY I 3", "READY I 3.x", "HELLO"})
+        CHECK(std::holds_alternative<session::unreadable>(read_instance_line(line)));
+}
+
+TEST_CASE("answers are written as callers read them")
+{
+    std::string out;
+    write_row("abc", out);
+    write_success({}, out);
+    write_failure(answer_code::in_doubt, "why", out);
+    write_prompt(transaction_state::open, out);
+    CHECK(out == "ROW abc\r\nCOMPLETE -\r\nERROR INDOUBT why\r\nREADY T -\r\n");
+}
+
+TEST_CASE("the proxy's own statements")
+{
+    CHECK(begin_text(true, consistency::position{3, 1207}) == "AFTER 3.1207 BEGIN READ");
+    CHECK(begin_text(false, std::nullopt) == "BEGIN");
+    CHECK(at_least_text({3, 1207}, "READ 1a4") == "AFTER 3.1207 READ 1a4");
+    CHECK(execute_text("w_q", "1a4 x") == "EXECUTE w_q 1a4 x");
+    CHECK(prepare_text({true, "q2c"}) == "PREPARE w_q2c WRITE q2c");
+    CHECK(pause_text(4) == "PAUSE 4");
+    CHECK(step_down_text(5) == "STEPDOWN 5");
+}
+
+TEST_CASE("a report is read from the row of a status command")
+{
+    const auto report = read_member_report("replica 3 3.1209 4 12 2 17");
+    REQUIRE(report);
+    CHECK(report->role == consistency::instance_role::replica);
+    CHECK(report->term == 3);
+    CHECK(report->received == consistency::position{3, 1209});
+    CHECK(report->paused_at == 4);
+    CHECK(report->busy_slots == 2);
+    CHECK(report->connections == 17);
+    for (const auto *const row : {"", "replica", "leader 3 3.1209 0 12 2 17", "replica 3 31209 0 12 2 17",
+                                  "replica x 3.1209 0 12 2 17", "replica 3 3.1209 0 12 2"})
+        CHECK_FALSE(read_member_report(row));
+}
--- /dev/null
+++ b/tests/proxy/test_settings_file.cpp
@@ -0,0 +1,52 @@
+// The proxy's settings: filled in by a template, checked with place and reason.
+
+#include "proxy/settings_file.h"
+
+#include <catch2/catch.hpp>
+
+using namespace baobabport::proxy;
+
+namespace {
+
+const std::string whole = R"({
+    // as the template renders it
+    "process": "front-1", "data_centre": "erie",
+    "callers": "10.0.0.1:1", "probe": "10.0.0.1:2", "admin": "", "peers": "10.0.0.1:4",
+    "store": "10.0.0.9:5", "promotion_orders": "10.0.0.9:6",
+    "instance_heartbeat_ms": "1200", "shutdown_s": "2.5", "configuration_bound_ms": ""
+})";
+
+std::string with(const std::string &from, const std::string &to)
+{
+    auto out = whole;
+    out.replace(out.find(from), from.size(), to);
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("settings that the VM does not have keep their defaults")
+{
+    std::string reason;
+    const auto settings = read_proxy_settings(whole, reason);
+    REQUIRE(settings);
+    CHECK(settings->callers.text() == "10.0.0.1:1");
+    CHECK_FALSE(settings->admin);
+    CHECK(settings->shutdown_time == milliseconds(2500));
+    CHECK(settings->configuration_bound == proxy_settings{}.configuration_bound);
+}
+
+TEST_CASE("wrong settings are refused with their place")
+{
+    std::string reason;
+    CHECK_FALSE(read_proxy_settings(with("10.0.0.1:1", "host"), reason));
+    CHECK(reason.find("callers") != std::string::npos);
+    CHECK_FALSE(read_proxy_settings(with("\"2.5\"", "\"soon\""), reason));
+    CHECK(reason.find("shutdown_s") != std::string::npos);
+    CHECK_FALSE(read_proxy_settings(with("\"2.5\"", "\"-1\""), reason));
+    CHECK_FALSE(read_proxy_settings(with("\"process\"", "\"proces\""), reason));
+    CHECK_FALSE(read_proxy_settings("{", reason));
+    CHECK_FALSE(read_proxy_settings("", reason));
+    CHECK_FALSE(load_proxy_settings("/nonexistent/settings.json", reason));
+    CHECK(reason.find("/nonexistent/settings.json") != std::string::npos);
+}
