Leaving instances get no new work after half of their time; tests over stand-ins of instances and store

Change: the directory decides how long a leaving instance takes work, entries and homes ask it. The proxy is tested end to end over real sockets before stand-ins that speak the published protocols (24 cases).

--- a/src/directory/instance_directory.cpp
+++ b/src/directory/instance_directory.cpp
@@ -4,6 +4,11 @@
 
 namespace baobabport::directory {
 
+bool instance_directory::takes_work(const instance_record &record, time_point now)
+{
+    return !record.leaving_since || now - *record.leaving_since < leaving_use;
+}
+
 directory_change instance_directory::take(std::vector<instance_record> records, time_point now)
 {
     directory_change out;
@@ -17,8 +22,10 @@
         const auto known = records_.find(it.id);
         if (known == records_.end()) {
             out.joined.push_back(it.id);
-            if (it.state == instance_state::draining)
+            if (it.state == instance_state::draining) {
+                it.leaving_since = now;
                 out.draining.push_back(it.id);
+            }
             records_.emplace(it.id, std::move(it));
             continue;
         }
@@ -26,6 +33,8 @@
         if (other_process)
             out.restarted.push_back(it.id);
         const bool was_draining = known->second.state == instance_state::draining && !other_process;
+        if (it.state == instance_state::draining)
+            it.leaving_since = was_draining ? known->second.leaving_since : now;
         if (it.state == instance_state::draining && !was_draining)
             out.draining.push_back(it.id);
         known->second = std::move(it);
--- a/src/directory/instance_directory.h
+++ b/src/directory/instance_directory.h
@@ -42,6 +42,12 @@
     /// Listings further apart than this count as an outage of the store.
     static constexpr std::chrono::milliseconds outage_after{4000};
 
+    /// A leaving instance gets new work this long at most; half of the shortest time that it still serves.
+    static constexpr std::chrono::milliseconds leaving_use{3500};
+
+    /// Returns true if the instance may get new statements.
+    [[nodiscard]] static bool takes_work(const instance_record &record, time_point now);
+
     /// Takes in a complete listing.
     directory_change take(std::vector<instance_record> records, time_point now);
 
--- a/src/directory/instance_record.h
+++ b/src/directory/instance_record.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace baobabport::directory {
@@ -24,6 +25,8 @@
     std::string data_centre;
     support::address at;
     instance_state state = instance_state::ready;
+    /// When this process learned that it leaves; filled in by the directory.
+    std::optional<std::chrono::steady_clock::time_point> leaving_since;
     consistency::instance_role role = consistency::instance_role::replica; ///< as it sees itself
     std::uint32_t slots = 1;                 ///< statements it runs at the same time
     std::chrono::milliseconds warm_up{0};    ///< it stays slow for this long
--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -1,5 +1,6 @@
 #include "proxy/group_task.h"
 
+#include "directory/instance_directory.h"
 #include "support/boot_clock.h"
 #include "support/json_log.h"
 
@@ -101,7 +102,15 @@
 
 std::shared_ptr<instance_pool> group_task::primary_pool() const
 {
-    return state_.primary() ? pool_of(*state_.primary()) : nullptr;
+    return state_.primary() ? pool_for_work(*state_.primary(), clock_type::now()) : nullptr;
+}
+
+std::shared_ptr<instance_pool> group_task::pool_for_work(const std::string &id, time_point now) const
+{
+    const auto it = members_.find(id);
+    if (it == members_.end() || !directory::instance_directory::takes_work(it->second.record, now))
+        return nullptr;
+    return it->second.pool;
 }
 
 std::shared_ptr<instance_pool> group_task::pool_of(const std::string &id) const
@@ -121,7 +130,7 @@
     std::shared_ptr<instance_pool> best;
     double best_cost = 0;
     for (const auto &[id, it] : members_) {
-        if (needs.avoid.count(id))
+        if (needs.avoid.count(id) || !directory::instance_directory::takes_work(it.record, now))
             continue;
         double cost = it.record.data_centre == identity_.data_centre ? 0 : other_data_centre;
         const auto applied = state_.applied(id);
--- a/src/proxy/group_task.h
+++ b/src/proxy/group_task.h
@@ -93,6 +93,9 @@
     [[nodiscard]] std::shared_ptr<instance_pool> primary_pool() const;
     [[nodiscard]] std::shared_ptr<instance_pool> pool_of(const std::string &id) const;
 
+    /// Returns the instance's pool if it may get new statements, or null.
+    [[nodiscard]] std::shared_ptr<instance_pool> pool_for_work(const std::string &id, time_point now) const;
+
     /// Returns the pool that suits the read best, or null.
     [[nodiscard]] std::shared_ptr<instance_pool> choose_for_read(const read_needs &needs,
                                                                  time_point now) const;
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -39,7 +39,7 @@
       instance_list_(base, store_, [this](auto records) { apply(std::move(records)); }),
       access_([this](const auto &service, const auto &instance) {
           const auto group = groups_.find(service);
-          return group == groups_.end() ? nullptr : group->second->pool_of(instance);
+          return group == groups_.end() ? nullptr : group->second->pool_for_work(instance, clock_type::now());
       }),
       executor_(make_executor()), timer_(base, [this] { tick(); })
 {
--- /dev/null
+++ b/standins/kv_service.cpp
@@ -0,0 +1,218 @@
+#include "kv_service.h"
+
+#include "support/keys.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <event2/http.h>
+#include <nlohmann/json.hpp>
+
+namespace standin {
+
+using namespace baobabport;
+using nlohmann::json;
+
+namespace {
+
+std::string decoded(const std::string &text)
+{
+    std::size_t length = 0;
+    char *const raw = evhttp_uridecode(text.c_str(), 1, &length);
+    std::string out(raw, length);
+    std::free(raw); // NOLINT(cppcoreguidelines-no-malloc): libevent allocates with malloc
+    return out;
+}
+
+constexpr std::size_t max_body = std::size_t{4} * 1024 * 1024;
+
+void reply(const std::shared_ptr<http::responder> &to, int status, const json &body)
+{
+    to->send({status, body.dump(), {}});
+}
+
+} // namespace
+
+kv_service::kv_service(event_base *base, const support::address &at, promote_hook promote)
+    : base_(base), promote_(std::move(promote)),
+      server_(base, at, max_body, [this](const auto &asked, const auto &answer) { serve(asked, answer); })
+{
+}
+
+void kv_service::put(const std::string &key, const std::string &value)
+{
+    items_[key] = {value, ++revision_, 0};
+    note(key);
+    wake();
+}
+
+void kv_service::remove(const std::string &key)
+{
+    if (items_.erase(key) == 0)
+        return;
+    ++revision_;
+    note(key);
+    wake();
+}
+
+void kv_service::end_leases()
+{
+    leases_.clear();
+    std::vector<std::string> ended;
+    for (const auto &it : items_) {
+        if (it.second.lease != 0)
+            ended.push_back(it.first);
+    }
+    for (const auto &it : ended)
+        remove(it);
+}
+
+void kv_service::serve(const request &asked, const responder &answer)
+{
+    ++calls;
+    if (faults.silent) {
+        unanswered_.push_back(answer);
+        return;
+    }
+    if (faults.refuses)
+        return reply(answer, 503, json::object());
+    const auto &path = asked.path;
+    if (path == "/api/kv-key") {
+        const auto key = decoded(asked.query_value("key"));
+        if (!has(key))
+            return reply(answer, 404, json::object());
+        auto body = json::parse(item_text(key));
+        body["as_of"] = revision_;
+        return reply(answer, 200, body);
+    }
+    if (path == "/api/kv-range")
+        return list(asked, answer);
+    if (path == "/api/kv-watch")
+        return watch(asked, answer);
+    if (path == "/api/kv-txn")
+        return change(asked, answer);
+    if (path == "/promote")
+        return promote(asked, answer);
+    if (path == "/api/kv-lease") {
+        leases_[++last_lease_] = true;
+        return reply(answer, 200,
+                     {{"lease_id", last_lease_}, {"ttl_ms", json::parse(asked.body).at("ttl_ms")}});
+    }
+    if (path.starts_with("/api/kv-keep/")) {
+        const auto lease = std::stoull(path.substr(std::string("/api/kv-keep/").size()));
+        return reply(answer, leases_.count(lease) ? 200 : 404, {{"ttl_ms", 1000}});
+    }
+    reply(answer, 404, json::object());
+}
+
+void kv_service::list(const request &asked, const responder &answer)
+{
+    const auto prefix = decoded(asked.query_value("prefix"));
+    json items = json::array();
+    for (const auto &it : items_) {
+        if (it.first.starts_with(prefix))
+            items.push_back(json::parse(item_text(it.first)));
+    }
+    reply(answer, 200, {{"items", items}, {"has_more", false}, {"as_of", revision_}});
+}
+
+void kv_service::watch(const request &asked, const responder &answer)
+{
+    if (std::exchange(faults.history_gone, false))
+        return reply(answer, 410, json::object());
+    waiting_watch it{decoded(asked.query_value("prefix")), std::stoull(asked.query_value("after")), answer,
+                     nullptr};
+    bool any = false;
+    const auto body = events(it.prefix, it.after, any);
+    if (any) {
+        answer->send({200, body, {}});
+        return;
+    }
+    const auto wait = std::chrono::milliseconds(std::stoll(asked.query_value("wait_ms")));
+    watches_.push_back(std::move(it));
+    auto &kept = watches_.back();
+    kept.until = std::make_unique<inner::timer>(base_, [this, &kept] {
+        bool found = false;
+        kept.answer->send({200, events(kept.prefix, kept.after, found), {}});
+        watches_.remove_if([&kept](const auto &other) { return &other == &kept; });
+    });
+    kept.until->start(wait);
+}
+
+void kv_service::change(const request &asked, const responder &answer)
+{
+    const auto body = json::parse(asked.body);
+    json state = json::array();
+    bool holds = true;
+    for (const auto &it : body.at("precondition")) {
+        const auto key = it.at("key").get<std::string>();
+        const auto known = has(key) ? items_.at(key).revision : 0;
+        holds = holds && known == it.at("revision").get<std::uint64_t>();
+        if (has(key))
+            state.push_back(json::parse(item_text(key)));
+    }
+    if (!holds)
+        return reply(answer, 412, {{"items", state}});
+    ++revision_;
+    for (const auto &it : body.at("writes")) {
+        const auto key = it.at("key").get<std::string>();
+        const auto value = support::from_base64(it.at("value").get<std::string>());
+        items_[key] = {value.value_or(""), revision_, it.value("lease_id", std::uint64_t{0})};
+        note(key);
+    }
+    for (const auto &it : body.at("remove")) {
+        items_.erase(it.get<std::string>());
+        note(it.get<std::string>());
+    }
+    reply(answer, 200, {{"revision", revision_}});
+    wake();
+}
+
+void kv_service::promote(const request &asked, const responder &answer)
+{
+    const auto body = json::parse(asked.body);
+    reply(answer, promote_(body.at("backend"), body.at("id"), 0), json::object());
+}
+
+void kv_service::note(const std::string &key)
+{
+    history_.push_back({key, revision_});
+}
+
+void kv_service::wake()
+{
+    for (auto it = watches_.begin(); it != watches_.end();) {
+        bool any = false;
+        const auto body = events(it->prefix, it->after, any);
+        if (any)
+            it->answer->send({200, body, {}});
+        it = any ? watches_.erase(it) : std::next(it);
+    }
+}
+
+std::string kv_service::events(const std::string &prefix, std::uint64_t after, bool &any) const
+{
+    json out = json::array();
+    for (const auto &it : history_) {
+        if (it.revision <= after || !it.key.starts_with(prefix))
+            continue;
+        any = true;
+        if (has(it.key))
+            out.push_back(json::parse(item_text(it.key)));
+        else
+            out.push_back({{"key", it.key}, {"revision", it.revision}, {"tombstone", true}});
+    }
+    return json{{"events", out}, {"as_of", revision_}}.dump();
+}
+
+std::string kv_service::item_text(const std::string &key) const
+{
+    const auto &it = items_.at(key);
+    return json{{"key", key},
+                {"value", support::to_base64(it.value)},
+                {"revision", it.revision},
+                {"created_at", it.revision},
+                {"lease_id", it.lease}}
+        .dump();
+}
+
+} // namespace standin
--- /dev/null
+++ b/standins/kv_service.h
@@ -0,0 +1,93 @@
+// The platform's key-value service and its call to promote, in the process of a test.
+
+#pragma once
+
+#include "http/http_server.h"
+#include "inner/timer.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+struct event_base;
+
+namespace standin {
+
+/// What is wrong with the service.
+struct kv_faults
+{
+    bool refuses = false;      ///< answers 503 to every call
+    bool silent = false;       ///< answers nothing
+    bool history_gone = false; ///< the next watch gets 410
+};
+
+/**
+ * Keys with revisions, leases and watches over HTTP.
+ */
+class kv_service
+{
+public:
+    /// `promote` takes service, instance and generation, and returns the status.
+    using promote_hook = std::function<int(const std::string &, const std::string &, std::uint64_t)>;
+
+    kv_service(event_base *base, const baobabport::support::address &at, promote_hook promote);
+
+    void put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+    [[nodiscard]] bool has(const std::string &key) const { return items_.count(key) > 0; }
+    [[nodiscard]] std::string value(const std::string &key) const { return items_.at(key).value; }
+
+    /// Ends all leases, as an outage does that lets them run out.
+    void end_leases();
+
+    kv_faults faults;
+    std::uint64_t calls = 0;
+
+private:
+    struct item
+    {
+        std::string value;
+        std::uint64_t revision = 0;
+        std::uint64_t lease = 0;
+    };
+    struct event_record
+    {
+        std::string key;
+        std::uint64_t revision = 0;
+    };
+    struct waiting_watch
+    {
+        std::string prefix;
+        std::uint64_t after = 0;
+        std::shared_ptr<baobabport::http::responder> answer;
+        std::unique_ptr<baobabport::inner::timer> until;
+    };
+    using request = baobabport::http::server_request;
+    using responder = std::shared_ptr<baobabport::http::responder>;
+
+    void serve(const request &asked, const responder &answer);
+    void list(const request &asked, const responder &answer);
+    void watch(const request &asked, const responder &answer);
+    void change(const request &asked, const responder &answer);
+    void promote(const request &asked, const responder &answer);
+    void note(const std::string &key);
+    void wake();
+    [[nodiscard]] std::string events(const std::string &prefix, std::uint64_t after, bool &any) const;
+    [[nodiscard]] std::string item_text(const std::string &key) const;
+
+    event_base *base_;
+    promote_hook promote_;
+    std::map<std::string, item> items_;
+    std::list<event_record> history_;
+    std::list<waiting_watch> watches_;
+    std::list<responder> unanswered_;
+    std::uint64_t revision_ = 100;
+    std::uint64_t last_lease_ = 0;
+    std::map<std::uint64_t, bool> leases_;
+    baobabport::http::http_server server_;
+};
+
+} // namespace standin
--- /dev/null
+++ b/standins/line_group.cpp
@@ -0,0 +1,301 @@
+#include "line_group.h"
+
+#include "platform/line_codec.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sstream>
+#include <utility>
+
+namespace standin {
+
+using baobabport::consistency::position;
+
+struct line_instance::connection
+{
+    line_instance *owner = nullptr;
+    std::uint64_t number = 0;
+    bufferevent *socket = nullptr;
+    baobabport::platform::line_reader reader;
+    bool open = false;
+    char state = 'I';
+    bool read_only = false;
+    std::map<std::string, std::string> values;
+    std::map<std::string, std::string> prepared; ///< name to `READ` or `WRITE`
+    std::map<std::string, std::string> written;  ///< in the open transaction
+
+    ~connection() { bufferevent_free(socket); }
+};
+
+namespace {
+
+std::string take_word(std::string &text)
+{
+    const auto end = std::min(text.find(' '), text.size());
+    auto out = text.substr(0, end);
+    text.erase(0, end + 1);
+    return out;
+}
+
+std::string text_of(const position &at)
+{
+    return std::to_string(at.term) + '.' + std::to_string(at.offset);
+}
+
+} // namespace
+
+line_group::line_group(event_base *base, std::string service, const std::vector<std::string> &instances)
+    : base_(base), service_(std::move(service))
+{
+    for (const auto &it : instances)
+        instances_[it] = std::make_unique<line_instance>(base_, *this, it);
+    instances_.at(instances.front())->primary = true;
+}
+
+line_group::~line_group() = default;
+
+std::vector<std::string> line_group::ids() const
+{
+    std::vector<std::string> out;
+    for (const auto &it : instances_)
+        out.push_back(it.first);
+    return out;
+}
+
+bool line_group::promote(const std::string &id)
+{
+    const auto it = instances_.find(id);
+    if (it == instances_.end() || it->second->crashed())
+        return false;
+    auto &chosen = *it->second;
+    if (chosen.primary && chosen.term == term_)
+        return true;
+    ++term_;
+    chosen.primary = true;
+    chosen.term = term_;
+    chosen.paused_at = 0;
+    return true;
+}
+
+position line_group::commit(line_instance &by, std::map<std::string, std::string> items)
+{
+    const log_entry entry{{by.term, by.last().offset + 1}, std::move(items)};
+    by.log.push_back(entry);
+    for (const auto &it : instances_) {
+        auto &other = *it.second;
+        if (&other == &by || other.primary || other.deaf || other.paused_at != 0 || other.crashed())
+            continue;
+        other.log = by.log;
+        other.term = by.term;
+    }
+    return entry.at;
+}
+
+line_instance::line_instance(event_base *base, line_group &group, std::string id)
+    : base_(base), group_(group), id_(std::move(id))
+{
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const auto accepted = [](evconnlistener * /*listener*/, evutil_socket_t socket, sockaddr * /*from*/,
+                             int /*length*/,
+                             void *self) { static_cast<line_instance *>(self)->accept(socket); };
+    constexpr int backlog = 64;
+    listener_ = evconnlistener_new_bind(base_, accepted, this, LEV_OPT_CLOSE_ON_FREE, backlog,
+                                        reinterpret_cast<const sockaddr *>(&at), sizeof(at));
+    socklen_t length = sizeof(at);
+    getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr *>(&at), &length);
+    port_ = ntohs(at.sin_port);
+}
+
+line_instance::~line_instance()
+{
+    crash();
+}
+
+void line_instance::crash()
+{
+    if (listener_)
+        evconnlistener_free(listener_);
+    listener_ = nullptr;
+    connections_.clear();
+}
+
+void line_instance::accept(int socket)
+{
+    auto it = std::make_unique<connection>();
+    it->owner = this;
+    it->number = ++last_connection_;
+    it->socket = bufferevent_socket_new(base_, socket, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(
+        it->socket,
+        [](bufferevent *from, void *arg) {
+            auto &me = *static_cast<connection *>(arg);
+            std::string bytes(evbuffer_get_length(bufferevent_get_input(from)), '\0');
+            evbuffer_remove(bufferevent_get_input(from), bytes.data(), bytes.size());
+            me.reader.append(bytes);
+            while (const auto line = me.reader.next())
+                me.owner->take(me, *line);
+        },
+        nullptr,
+        [](bufferevent * /*from*/, short what, void *arg) {
+            auto &me = *static_cast<connection *>(arg);
+            if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+                me.owner->connections_.erase(me.number);
+        },
+        it.get());
+    bufferevent_enable(it->socket, EV_READ | EV_WRITE);
+    connections_[it->number] = std::move(it);
+}
+
+void line_instance::take(connection &from, const std::string &line)
+{
+    auto rest = line;
+    const auto word = take_word(rest);
+    if (mute)
+        return;
+    if (word == "CONNECT") {
+        const auto service = take_word(rest);
+        take_word(rest); // who is connecting
+        if (service != group_.service() || (!rest.empty() && rest != id_))
+            return answer(from, "ERROR MOVED " + id_ + "\r\n");
+        if (connections_.size() > group_.max_connections)
+            return answer(from, "ERROR MAXCONN " + id_ + "\r\n");
+        from.open = true;
+        return answer(from, "READY I " + text_of(last()) + "\r\n");
+    }
+    const auto id = take_word(rest);
+    query(from, id, rest);
+}
+
+void line_instance::query(connection &from, const std::string &id, std::string text)
+{
+    if (text.starts_with("AFTER ")) {
+        take_word(text);
+        std::istringstream floor(take_word(text));
+        position wanted;
+        char dot = 0;
+        floor >> wanted.term >> dot >> wanted.offset;
+        if (last() < wanted)
+            return fail(from, "LAGGING");
+    }
+    auto rest = text;
+    const auto word = take_word(rest);
+    if (word == "READ" || word == "WRITE" || word == "EXECUTE" || word == "COMMIT")
+        run(from, id, text);
+    else
+        command(from, word, rest);
+}
+
+void line_instance::run(connection &from, const std::string &id, const std::string &text)
+{
+    if (!fail_next_with.empty()) {
+        const auto code = std::exchange(fail_next_with, {});
+        return fail(from, code);
+    }
+    auto rest = text;
+    auto word = take_word(rest);
+    if (word == "EXECUTE") {
+        const auto known = from.prepared.find(take_word(rest));
+        if (known == from.prepared.end())
+            return fail(from, "UNKNOWN");
+        word = known->second;
+    }
+    const bool in_transaction = from.state == 'T';
+    if (!primary && (word == "WRITE" || (in_transaction && !from.read_only)))
+        return fail(from, "READONLY");
+    group_.ran.push_back({id_, from.number, id, text, from.values, in_transaction});
+    std::string rows;
+    if (word == "READ") {
+        const auto own = from.written.find(rest);
+        rows = "ROW " + (own == from.written.end() ? read(rest) : own->second) + "\r\n";
+    } else if (word == "WRITE") {
+        const auto item = take_word(rest);
+        from.written[item] = rest;
+    } else {
+        from.state = 'I';
+    }
+    if (from.state == 'I' && !from.written.empty())
+        group_.commit(*this, std::exchange(from.written, {}));
+    if (lose_answers > 0) {
+        --lose_answers;
+        return;
+    }
+    answer(from, rows + "COMPLETE mac" + std::to_string(++last_receipt_) + "\r\nREADY " + from.state + ' ' +
+                     text_of(last()) + "\r\n");
+}
+
+void line_instance::command(connection &from, const std::string &word, const std::string &rest)
+{
+    auto words = rest;
+    if (word == "BEGIN") {
+        if (!primary && rest.empty())
+            return fail(from, "READONLY");
+        from.state = 'T';
+        from.read_only = !rest.empty();
+    } else if (word == "ROLLBACK") {
+        from.state = 'I';
+        from.written.clear();
+    } else if (word == "SET") {
+        const auto name = take_word(words);
+        from.values[name] = words;
+    } else if (word == "PREPARE") {
+        const auto name = take_word(words);
+        from.prepared[name] = take_word(words);
+    } else if (word == "RESET") {
+        from.values.clear();
+        from.prepared.clear();
+    } else if (word == "PAUSE") {
+        const auto wanted = std::stoull(rest);
+        if (!primary && wanted > term)
+            paused_at = wanted;
+        return report(from);
+    } else if (word == "RESUME") {
+        paused_at = 0;
+        return report(from);
+    } else if (word == "STEPDOWN") {
+        if (std::stoull(rest) > term)
+            primary = false;
+        return report(from);
+    } else if (word == "STATUS") {
+        return report(from);
+    } else {
+        return fail(from, "MALFORMED");
+    }
+    answer(from, std::string("COMPLETE -\r\nREADY ") + from.state + ' ' + text_of(last()) + "\r\n");
+}
+
+void line_instance::report(connection &to)
+{
+    answer(to, std::string("ROW ") + (primary ? "primary " : "replica ") + std::to_string(term) + ' ' +
+                   text_of(last()) + ' ' + std::to_string(paused_at) + " 0 0 " +
+                   std::to_string(connections_.size()) + "\r\nCOMPLETE -\r\nREADY " + to.state + ' ' +
+                   text_of(last()) + "\r\n");
+}
+
+void line_instance::fail(connection &to, const std::string &code)
+{
+    if (to.state == 'T')
+        to.state = 'E';
+    answer(to, "ERROR " + code + ' ' + id_ + "\r\nREADY " + to.state + ' ' + text_of(last()) + "\r\n");
+}
+
+void line_instance::answer(connection &to, const std::string &body)
+{
+    bufferevent_write(to.socket, body.data(), body.size());
+}
+
+std::string line_instance::read(const std::string &item) const
+{
+    for (auto it = log.rbegin(); it != log.rend(); ++it) {
+        const auto found = it->items.find(item);
+        if (found != it->items.end())
+            return found->second;
+    }
+    return "none";
+}
+
+} // namespace standin
--- /dev/null
+++ b/standins/line_group.h
@@ -0,0 +1,129 @@
+// A group of instances that speak the line protocol, in the process of a test.
+
+#pragma once
+
+#include "consistency/position.h"
+#include "replication/member_report.h"
+#include "support/address.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+struct event_base;
+struct evconnlistener;
+struct bufferevent;
+
+namespace standin {
+
+class line_instance;
+
+/// A statement that an instance ran for a caller.
+struct ran_statement
+{
+    std::string instance;
+    std::uint64_t connection = 0;
+    std::string id;
+    std::string text;
+    std::map<std::string, std::string> values; ///< of its connection
+    bool in_transaction = false;
+};
+
+/// A commit, as the groups' log holds it.
+struct log_entry
+{
+    baobabport::consistency::position at;
+    std::map<std::string, std::string> items;
+};
+
+/**
+ * Instances on loopback ports, with a log each. A commit reaches replicas that are not deaf at once.
+ */
+class line_group
+{
+public:
+    line_group(event_base *base, std::string service, const std::vector<std::string> &instances);
+    ~line_group();
+    line_group(const line_group &) = delete;
+    line_group &operator=(const line_group &) = delete;
+
+    [[nodiscard]] line_instance &at(const std::string &id) { return *instances_.at(id); }
+    [[nodiscard]] const std::string &service() const { return service_; }
+    [[nodiscard]] std::vector<std::string> ids() const;
+
+    /// Makes the instance the primary of the next term; false: it is not running.
+    bool promote(const std::string &id);
+
+    /// Takes a commit of the instance; returns its position.
+    baobabport::consistency::position commit(line_instance &by, std::map<std::string, std::string> items);
+
+    std::vector<ran_statement> ran;
+    std::uint32_t max_connections = 16;
+
+private:
+    event_base *base_;
+    std::string service_;
+    std::map<std::string, std::unique_ptr<line_instance>> instances_;
+    std::uint64_t term_ = 1;
+};
+
+/**
+ * One instance.
+ */
+class line_instance
+{
+public:
+    line_instance(event_base *base, line_group &group, std::string id);
+    ~line_instance();
+    line_instance(const line_instance &) = delete;
+    line_instance &operator=(const line_instance &) = delete;
+
+    [[nodiscard]] const std::string &id() const { return id_; }
+    [[nodiscard]] baobabport::support::address address() const { return {"127.0.0.1", port_}; }
+
+    /// Stops listening and cuts all connections.
+    void crash();
+    [[nodiscard]] bool crashed() const { return listener_ == nullptr; }
+    [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+    [[nodiscard]] baobabport::consistency::position last() const
+    {
+        return log.empty() ? baobabport::consistency::position{1, 0} : log.back().at;
+    }
+
+    bool primary = false;
+    bool deaf = false;          ///< receives nothing
+    bool mute = false;          ///< takes what comes and answers nothing
+    int lose_answers = 0;       ///< runs so many statements without answering
+    std::string fail_next_with; ///< error word for the next statement of a caller
+    std::uint64_t term = 1;
+    std::uint64_t paused_at = 0;
+    std::vector<log_entry> log;
+
+private:
+    struct connection;
+
+    void accept(int socket);
+    void take(connection &from, const std::string &line);
+    void query(connection &from, const std::string &id, std::string text);
+    void run(connection &from, const std::string &id, const std::string &text);
+    void command(connection &from, const std::string &word, const std::string &rest);
+    void answer(connection &to, const std::string &body);
+    void fail(connection &to, const std::string &code);
+    void report(connection &to);
+    [[nodiscard]] std::string read(const std::string &item) const;
+
+    event_base *base_;
+    line_group &group_;
+    std::string id_;
+    std::uint16_t port_ = 0;
+    evconnlistener *listener_ = nullptr;
+    std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
+    std::uint64_t last_connection_ = 0;
+    std::uint64_t last_receipt_ = 0;
+};
+
+} // namespace standin
--- a/tests/directory/test_directory.cpp
+++ b/tests/directory/test_directory.cpp
@@ -80,6 +80,24 @@
     CHECK(instances.of_service("other").empty());
 }
 
+TEST_CASE("a leaving instance gets new work only for a while")
+{
+    instance_directory instances;
+    auto record = make("a");
+    instances.take({record}, start);
+    CHECK(instance_directory::takes_work(*instances.find("a"), start + std::chrono::hours(1)));
+    record.state = instance_state::draining;
+    instances.take({record}, start + milliseconds(1000));
+    instances.take({record}, start + milliseconds(2000)); // the time runs from the first report
+    const auto end = start + milliseconds(1000) + instance_directory::leaving_use;
+    CHECK(instance_directory::takes_work(*instances.find("a"), end - milliseconds(1)));
+    CHECK_FALSE(instance_directory::takes_work(*instances.find("a"), end));
+    record.started_at = milliseconds(99); // another process under the same id
+    record.state = instance_state::ready;
+    instances.take({record}, end);
+    CHECK(instance_directory::takes_work(*instances.find("a"), end));
+}
+
 TEST_CASE("a restarted instance that leaves is reported as leaving again")
 {
     instance_directory instances;
--- /dev/null
+++ b/tests/proxy/test_proxy.cpp
@@ -0,0 +1,331 @@
+// The proxy as its callers see it, over real sockets, before stand-ins of instances and store.
+
+#include "support/proxy_site.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace testing;
+
+namespace {
+
+bool is_success(const std::string &answer)
+{
+    return answer.find("COMPLETE ") != std::string::npos && answer.find("ERROR") == std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("a session reads what it has written, by every kind of route")
+{
+    proxy_site site;
+    for (const auto *const database : {"main", "own"}) {
+        const auto caller = site.session(database);
+        CHECK(caller->lines == std::vector<std::string>{"READY I -"});
+        const auto written = site.ask(*caller, std::string("WRITE x of-") + database);
+        CHECK(written.find("COMPLETE mac") == 0);
+        CHECK(site.ask(*caller, "READ x").find(std::string("ROW of-") + database + "|COMPLETE mac") == 0);
+    }
+    const auto reader = site.session("old");
+    CHECK(is_success(site.ask(*reader, "READ x")));
+}
+
+TEST_CASE("a session without a route is refused, and a new route is served")
+{
+    proxy_site site;
+    CHECK(site.session("none")->lines.front().starts_with("ERROR NODB"));
+    site.configure(2, {"fresh"});
+    CHECK(site.run_until([&site] { return site.session("fresh")->lines.front() == "READY I -"; }));
+    site.configure(5);
+    CHECK(site.run_until([&site] { return site.session("fresh")->lines.front().starts_with("ERROR NODB"); }));
+}
+
+TEST_CASE("a dropped route ends with the next transaction of its sessions")
+{
+    proxy_site site;
+    site.configure(2, {"fresh"});
+    std::unique_ptr<test_caller> caller;
+    site.run_until([&] {
+        caller = site.session("fresh");
+        return caller->lines.front() == "READY I -";
+    });
+    site.ask(*caller, "BEGIN");
+    CHECK(is_success(site.ask(*caller, "WRITE x 1")));
+    site.configure(3);
+    CHECK(site.run_until([&site] { return site.session("fresh")->lines.front().starts_with("ERROR NODB"); }));
+    CHECK(is_success(site.ask(*caller, "COMMIT")));
+    CHECK(site.ask(*caller, "READ x").starts_with("ERROR NODB"));
+}
+
+TEST_CASE("a transaction keeps one connection, and only its commit shows it to others")
+{
+    proxy_site site;
+    const auto one = site.session("main");
+    const auto other = site.session("main");
+    CHECK(site.ask(*one, "BEGIN") == "COMPLETE -|READY T -");
+    CHECK(is_success(site.ask(*one, "WRITE x 1")));
+    CHECK(site.ask(*other, "READ x").starts_with("ROW none|"));
+    CHECK(site.ask(*one, "READ x").starts_with("ROW 1|"));
+    CHECK(site.ask(*one, "COMMIT").ends_with("READY I -"));
+    CHECK(site.ask(*other, "READ x").starts_with("ROW 1|"));
+    std::vector<std::uint64_t> connections;
+    for (const auto &it : site.group.ran) {
+        if (it.in_transaction)
+            connections.push_back(it.connection);
+    }
+    REQUIRE(connections.size() == 3);
+    CHECK(std::count(connections.begin(), connections.end(), connections.front()) == 3);
+}
+
+TEST_CASE("a rolled back transaction leaves nothing")
+{
+    proxy_site site;
+    const auto caller = site.session("main");
+    site.ask(*caller, "BEGIN");
+    site.ask(*caller, "WRITE x 1");
+    CHECK(site.ask(*caller, "ROLLBACK") == "COMPLETE -|READY I -");
+    CHECK(site.ask(*caller, "READ x").starts_with("ROW none|"));
+}
+
+TEST_CASE("a caller that leaves in the middle of a transaction leaves nothing")
+{
+    proxy_site site;
+    {
+        const auto caller = site.session("main");
+        site.ask(*caller, "BEGIN");
+        site.ask(*caller, "WRITE x 1");
+    }
+    const auto other = site.session("main");
+    CHECK(site.ask(*other, "READ x").starts_with("ROW none|"));
+    site.ask(*other, "BEGIN");
+    CHECK(is_success(site.ask(*other, "WRITE y 1")));
+    CHECK(is_success(site.ask(*other, "COMMIT")));
+    CHECK(site.ask(*other, "READ x").starts_with("ROW none|"));
+}
+
+TEST_CASE("values and prepared statements follow their session to any connection")
+{
+    proxy_site site;
+    const auto one = site.session("main");
+    const auto other = site.session("main");
+    CHECK(site.ask(*one, "SET zone erie") == "COMPLETE -|READY I -");
+    CHECK(site.ask(*other, "SET zone huron") == "COMPLETE -|READY I -");
+    CHECK(site.ask(*one, "PREPARE s WRITE q1") == "COMPLETE -|READY I -");
+    CHECK(site.ask(*other, "PREPARE s READ q2") == "COMPLETE -|READY I -");
+    CHECK(is_success(site.ask(*one, "EXECUTE s x 1")));
+    CHECK(site.ask(*other, "EXECUTE s x").starts_with("ROW 1|"));
+    CHECK(is_success(site.ask(*one, "READ x")));
+    REQUIRE(site.group.ran.size() == 3);
+    CHECK(site.group.ran[0].values.at("zone") == "erie");
+    CHECK(site.group.ran[1].values.at("zone") == "huron");
+    CHECK(site.group.ran[2].values.at("zone") == "erie");
+    CHECK(site.ask(*one, "CLOSE s") == "COMPLETE -|READY I -");
+    CHECK(site.ask(*one, "EXECUTE s x 1").starts_with("ERROR UNKNOWN"));
+}
+
+TEST_CASE("a session without values never runs with those of another")
+{
+    proxy_site site;
+    const auto one = site.session("main");
+    site.ask(*one, "SET zone erie");
+    site.ask(*one, "READ x");
+    const auto other = site.session("main");
+    site.ask(*other, "READ x");
+    REQUIRE(site.group.ran.size() == 2);
+    CHECK(site.group.ran[1].values.empty());
+}
+
+TEST_CASE("statements that are none, or come at the wrong time, are malformed and harm nothing")
+{
+    proxy_site site;
+    const auto caller = site.session("main");
+    for (const auto *const text : {"SELECT 1", "COMMIT", "ROLLBACK", "AFTER 1.1 READ x", "STATUS"})
+        CHECK(site.ask(*caller, text).starts_with("ERROR MALFORMED"));
+    caller->send("NONSENSE\r\n");
+    caller->lines.clear();
+    CHECK(site.run_until([&] { return caller->lines.size() == 2; }));
+    site.ask(*caller, "BEGIN");
+    CHECK(site.ask(*caller, "BEGIN").starts_with("ERROR MALFORMED"));
+    CHECK(is_success(site.ask(*caller, "READ x")));
+    CHECK(is_success(site.ask(*caller, "COMMIT")));
+}
+
+TEST_CASE("statements sent ahead are answered in order")
+{
+    proxy_site site;
+    const auto caller = site.session("main");
+    caller->lines.clear();
+    caller->send("QUERY 1 WRITE x 1\r\nQUERY 2 READ x\r\nQUERY 3 BEGIN\r\nQUERY 4 COM");
+    caller->send("MIT\r\n");
+    CHECK(site.run_until([&] {
+        return std::count_if(caller->lines.begin(), caller->lines.end(),
+                             [](const auto &it) { return it.starts_with("READY"); }) == 4;
+    }));
+    CHECK(caller->lines[2] == "ROW 1");
+}
+
+TEST_CASE("a line that is too long ends its session only")
+{
+    proxy_site site;
+    const auto caller = site.session("main");
+    const auto other = site.session("main");
+    caller->send("QUERY 1 READ " + std::string(baobabport::platform::max_message + 10, 'x'));
+    CHECK(site.run_until([&] { return caller->closed; }));
+    CHECK(is_success(site.ask(*other, "READ x")));
+}
+
+TEST_CASE("a write whose answer is lost is in doubt and is never sent again")
+{
+    proxy_site site;
+    const auto caller = site.session("main");
+    site.ask(*caller, "READ x");
+    site.group.at("a").lose_answers = 1;
+    CHECK(site.ask(*caller, "WRITE x 1").starts_with("ERROR INDOUBT"));
+    const auto writes = std::count_if(site.group.ran.begin(), site.group.ran.end(),
+                                      [](const auto &it) { return it.text == "WRITE x 1"; });
+    CHECK(writes == 1);
+}
+
+TEST_CASE("a read whose instance fails is read elsewhere")
+{
+    proxy_site site;
+    const auto caller = site.session("old");
+    CHECK(is_success(site.ask(*caller, "READ x")));
+    for (const auto *const id : {"a", "b", "c"})
+        site.group.at(id).fail_next_with = id == std::string("c") ? "" : "FAILED";
+    CHECK(is_success(site.ask(*caller, "READ x")));
+}
+
+TEST_CASE("an error within a transaction is a promise that nothing is kept")
+{
+    proxy_site site;
+    const auto caller = site.session("main");
+    site.ask(*caller, "BEGIN");
+    CHECK(is_success(site.ask(*caller, "WRITE x 1")));
+    site.group.at("a").fail_next_with = "FAILED";
+    const auto failed = site.ask(*caller, "WRITE y 1");
+    CHECK(failed.starts_with("ERROR ABORTED"));
+    CHECK(failed.ends_with("READY E -"));
+    CHECK(site.ask(*caller, "READ x").starts_with("ERROR MALFORMED"));
+    CHECK(site.ask(*caller, "COMMIT").starts_with("ERROR ABORTED"));
+    CHECK(site.ask(*caller, "READ x").starts_with("ROW none|"));
+}
+
+TEST_CASE("a write that an instance did not run is run once the instance can")
+{
+    proxy_site site;
+    const auto caller = site.session("main");
+    site.ask(*caller, "READ x");
+    site.group.at("a").fail_next_with = "BUSY";
+    CHECK(is_success(site.ask(*caller, "WRITE x 1")));
+}
+
+TEST_CASE("a transaction that rests too long is ended, and its caller told with the next statement")
+{
+    proxy_site site;
+    const auto caller = site.session("main");
+    const auto other = site.session("main");
+    site.ask(*caller, "BEGIN");
+    site.ask(*caller, "WRITE x 1");
+    const auto started = std::chrono::steady_clock::now();
+    site.run_until(
+        [&] { return std::chrono::steady_clock::now() - started > std::chrono::milliseconds(400); });
+    CHECK(site.ask(*caller, "COMMIT").starts_with("ERROR ABORTED"));
+    CHECK(site.ask(*other, "READ x").starts_with("ROW none|"));
+}
+
+TEST_CASE("a session's own write is read from a replica that has it, or elsewhere")
+{
+    proxy_site site;
+    const auto caller = site.session("own");
+    site.group.at("b").deaf = true;
+    for (int n = 0; n < 5; ++n) {
+        const auto value = std::to_string(n);
+        CHECK(is_success(site.ask(*caller, "WRITE x " + value)));
+        CHECK(site.ask(*caller, "READ x").starts_with("ROW " + value + "|"));
+    }
+}
+
+TEST_CASE("a crashed primary is replaced without an order, and nothing acknowledged is missing")
+{
+    proxy_site site;
+    const auto caller = site.session("main");
+    CHECK(is_success(site.ask(*caller, "WRITE x 1")));
+    site.group.at("a").crash();
+    CHECK(site.run_until([&site] { return !site.promoted.empty(); }));
+    const auto again = site.session("main");
+    CHECK(site.run_until([&] { return is_success(site.ask(*again, "WRITE y 2")); }));
+    CHECK(site.ask(*again, "READ x").starts_with("ROW 1|"));
+    CHECK(
+        site.run_until([&site] { return site.group.at("b").paused_at + site.group.at("c").paused_at == 0; }));
+}
+
+TEST_CASE("the replica that is furthest ahead is promoted")
+{
+    proxy_site site;
+    const auto caller = site.session("main");
+    site.group.at("b").deaf = true;
+    CHECK(is_success(site.ask(*caller, "WRITE x 1")));
+    site.group.at("a").crash();
+    CHECK(site.run_until([&site] { return !site.promoted.empty(); }));
+    CHECK(site.promoted.front() == "c");
+}
+
+TEST_CASE("a leaving primary hands over, and its sessions go on")
+{
+    proxy_site site;
+    const auto caller = site.session("main");
+    CHECK(is_success(site.ask(*caller, "WRITE x 1")));
+    site.register_instance("a", "draining");
+    CHECK(site.run_until([&site] { return !site.promoted.empty() && !site.group.at("a").primary; }));
+    CHECK(site.run_until([&] { return is_success(site.ask(*caller, "WRITE x 2")); }));
+    CHECK(site.ask(*caller, "READ x").starts_with("ROW 2|"));
+    CHECK(site.group.ran.back().instance != "a");
+}
+
+TEST_CASE("service and failover go on while the store is away")
+{
+    proxy_site site;
+    const auto caller = site.session("main");
+    CHECK(is_success(site.ask(*caller, "WRITE x 1")));
+    site.store->faults.refuses = true;
+    const auto since = std::chrono::steady_clock::now();
+    site.run_until(
+        [&] { return std::chrono::steady_clock::now() - since > std::chrono::milliseconds(2500); });
+    CHECK(is_success(site.ask(*caller, "WRITE x 2")));
+}
+
+TEST_CASE("a watch whose history is gone begins anew and misses nothing")
+{
+    proxy_site site;
+    site.store->faults.history_gone = true;
+    site.configure(2, {"fresh"});
+    CHECK(site.run_until([&site] { return site.session("fresh")->lines.front() == "READY I -"; }));
+}
+
+TEST_CASE("records that cannot be read leave the others in use")
+{
+    proxy_site site;
+    site.store->put("servers/odd", "\xff\xfe");
+    site.store->put("servers/none", "{}");
+    site.register_instance("b", "ready");
+    const auto caller = site.session("main");
+    CHECK(is_success(site.ask(*caller, "READ x")));
+}
+
+TEST_CASE("a planned stop tells the balancer first and cuts off nothing in progress")
+{
+    proxy_site site;
+    CHECK(site.ready_status() == 200);
+    const auto idle = site.session("main");
+    const auto busy = site.session("main");
+    site.ask(*busy, "BEGIN");
+    CHECK(is_success(site.ask(*busy, "WRITE x 1")));
+    site.proxy->drain();
+    CHECK(site.ready_status() == 503);
+    CHECK_FALSE(idle->closed);
+    CHECK(is_success(site.ask(*busy, "COMMIT")));
+    CHECK(site.run_until([&site] { return site.stopped; }));
+    CHECK(site.run_until([&idle] { return idle->closed; }));
+    CHECK_FALSE(site.store->has("baobabport/failover/holder")); // the duty is given back
+}
--- /dev/null
+++ b/tests/support/proxy_site.cpp
@@ -0,0 +1,186 @@
+#include "support/proxy_site.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace testing {
+
+using namespace baobabport;
+using nlohmann::json;
+
+namespace {
+
+/// Beyond this, a condition will not come true: several times the longest time-out in play.
+constexpr std::chrono::seconds patience{20};
+
+support::address free_address()
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(socket, reinterpret_cast<sockaddr *>(&at), sizeof(at));
+    socklen_t length = sizeof(at);
+    ::getsockname(socket, reinterpret_cast<sockaddr *>(&at), &length);
+    ::close(socket);
+    return {"127.0.0.1", ntohs(at.sin_port)};
+}
+
+json route(const std::string &database, const std::string &type)
+{
+    json out{{"name", "r-" + database},   {"database", database}, {"type", type},   {"timeout_ms", 1000},
+             {"target_latency_ms", 1000}, {"priority", 1},        {"backend", "db"}};
+    if (type != "primary")
+        out["max_staleness_ms"] = 2500;
+    return out;
+}
+
+} // namespace
+
+test_caller::test_caller(event_base *base, const support::address &to)
+    : socket_(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE))
+{
+    bufferevent_setcb(
+        socket_,
+        [](bufferevent *from, void *arg) {
+            auto &me = *static_cast<test_caller *>(arg);
+            std::string bytes(evbuffer_get_length(bufferevent_get_input(from)), '\0');
+            evbuffer_remove(bufferevent_get_input(from), bytes.data(), bytes.size());
+            me.reader_.append(bytes);
+            while (const auto line = me.reader_.next())
+                me.lines.push_back(*line);
+        },
+        nullptr,
+        [](bufferevent * /*from*/, short what, void *arg) {
+            if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+                static_cast<test_caller *>(arg)->closed = true;
+        },
+        this);
+    bufferevent_enable(socket_, EV_READ | EV_WRITE);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(to.port);
+    inet_pton(AF_INET, to.ip.c_str(), &at.sin_addr);
+    bufferevent_socket_connect(socket_, reinterpret_cast<const sockaddr *>(&at), sizeof(at));
+}
+
+test_caller::~test_caller()
+{
+    bufferevent_free(socket_);
+}
+
+void test_caller::send(const std::string &bytes)
+{
+    bufferevent_write(socket_, bytes.data(), bytes.size());
+}
+
+proxy_site::proxy_site() : base(event_base_new()), group(base, "db", {"a", "b", "c"})
+{
+    settings_.process = "front-1";
+    settings_.data_centre = "erie";
+    settings_.callers = free_address();
+    settings_.probe = free_address();
+    settings_.peers = free_address();
+    settings_.store = free_address();
+    settings_.promotion_orders = settings_.store;
+    settings_.shutdown_time = std::chrono::milliseconds(4000);
+    store.emplace(base, settings_.store, [this](const auto &, const auto &id, auto) {
+        promoted.push_back(id);
+        return group.promote(id) ? 200 : 409;
+    });
+    configure(1);
+    for (const auto &it : group.ids())
+        register_instance(it);
+    proxy.emplace(base, settings_, [this] { stopped = true; });
+    run_until([this] { return store->has("baobabport/failover/holder"); });
+}
+
+proxy_site::~proxy_site()
+{
+    proxy.reset();
+    store.reset();
+    event_base_loop(base, EVLOOP_NONBLOCK); // what was put off to the loop is freed
+}
+
+bool proxy_site::run_until(const std::function<bool()> &condition)
+{
+    const auto end = std::chrono::steady_clock::now() + patience;
+    const auto wake = event_new(
+        base, -1, EV_PERSIST, [](int, short, void *) {}, nullptr);
+    const timeval interval{0, 5000};
+    event_add(wake, &interval);
+    bool held = condition();
+    while (!held && std::chrono::steady_clock::now() < end) {
+        event_base_loop(base, EVLOOP_ONCE);
+        held = condition();
+    }
+    event_free(wake);
+    return held;
+}
+
+std::unique_ptr<test_caller> proxy_site::session(const std::string &database)
+{
+    auto out = std::make_unique<test_caller>(base, callers());
+    out->send("CONNECT " + database + " tester\r\n");
+    run_until([&out] { return !out->lines.empty() || out->closed; });
+    return out;
+}
+
+std::string proxy_site::ask(test_caller &from, const std::string &text)
+{
+    from.lines.clear();
+    from.send("QUERY id" + std::to_string(++last_id_) + ' ' + text + "\r\n");
+    run_until(
+        [&from] { return from.closed || (!from.lines.empty() && from.lines.back().starts_with("READY")); });
+    std::string out;
+    for (const auto &it : from.lines)
+        out += (out.empty() ? "" : "|") + it;
+    return out;
+}
+
+void proxy_site::configure(std::uint64_t version, const std::vector<std::string> &more)
+{
+    json routes =
+        json::array({route("main", "primary"), route("old", "bounded"), route("own", "read_your_writes")});
+    for (const auto &it : more)
+        routes.push_back(route(it, "primary"));
+    const json state{{"version", version},
+                     {"routes", routes},
+                     {"backends", {{{"name", "db"}, {"max_connections", 16}, {"sync_replicas", 0}}}},
+                     {"limits", {{"tx_idle_ms", 300}}}};
+    store->put("op/config", state.dump());
+}
+
+void proxy_site::register_instance(const std::string &id, const std::string &state)
+{
+    auto &it = group.at(id);
+    const json record{{"backend", "db"},
+                      {"address", it.address().text()},
+                      {"zone", "erie"},
+                      {"version", "v1"},
+                      {"slots", 2},
+                      {"state", state},
+                      {"cold_remaining_ms", 0},
+                      {"db_role", it.primary ? "primary" : "replica"},
+                      {"sequence", 1},
+                      {"born", 1}};
+    store->put("servers/" + id, record.dump());
+}
+
+int proxy_site::ready_status()
+{
+    int out = 0;
+    http::http_client client(base, settings_.probe);
+    client.send({http::method_kind::get, "/api/ready", {}, {}, std::chrono::milliseconds(1000)},
+                [&out](const auto &answer) { out = answer.status == 0 ? -1 : answer.status; });
+    run_until([&out] { return out != 0; });
+    return out;
+}
+
+} // namespace testing
--- /dev/null
+++ b/tests/support/proxy_site.h
@@ -0,0 +1,81 @@
+// One proxy between stand-ins of its surroundings, with callers, all in one loop.
+
+#pragma once
+
+#include "kv_service.h"
+#include "line_group.h"
+#include "proxy/proxy_task.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+struct event_base;
+struct bufferevent;
+
+namespace testing {
+
+/**
+ * A caller's session as the caller sees it.
+ */
+class test_caller
+{
+public:
+    test_caller(event_base *base, const baobabport::support::address &to);
+    ~test_caller();
+    test_caller(const test_caller &) = delete;
+    test_caller &operator=(const test_caller &) = delete;
+
+    void send(const std::string &bytes);
+
+    std::vector<std::string> lines; ///< all that came
+    bool closed = false;
+
+private:
+    bufferevent *socket_ = nullptr;
+    baobabport::platform::line_reader reader_;
+};
+
+/**
+ * The site: a group `db` of `a` (primary), `b` and `c`, and the routes `main` (primary), `old` (bounded) and
+ * `own` (read-your-writes).
+ */
+class proxy_site
+{
+public:
+    proxy_site();
+    ~proxy_site();
+    proxy_site(const proxy_site &) = delete;
+    proxy_site &operator=(const proxy_site &) = delete;
+
+    /// Runs the loop until the condition holds; returns false if it does not hold in time.
+    bool run_until(const std::function<bool()> &condition);
+
+    /// Opens a session and waits for it.
+    std::unique_ptr<test_caller> session(const std::string &database);
+
+    /// Sends a statement and returns the whole answer, its lines joined by `|`.
+    std::string ask(test_caller &from, const std::string &text);
+
+    /// Puts a desired state with these databases (and the three usual ones) in force.
+    void configure(std::uint64_t version, const std::vector<std::string> &more = {});
+    void register_instance(const std::string &id, const std::string &state = "ready");
+
+    [[nodiscard]] baobabport::support::address callers() const { return settings_.callers; }
+    [[nodiscard]] int ready_status();
+
+    event_base *base;
+    standin::line_group group;
+    std::optional<standin::kv_service> store;
+    std::optional<baobabport::proxy::proxy_task> proxy;
+    std::vector<std::string> promoted;
+    bool stopped = false;
+
+private:
+    baobabport::proxy::proxy_settings settings_;
+    std::uint64_t last_id_ = 0;
+};
+
+} // namespace testing
