Logs on standard output in a bounded volume, metrics, a line for each failed attempt

Cause: on-call engineers have logs and metrics only; lines went to standard error, unbounded, and nothing told why an attempt failed or a home refused. Change: JSON lines on standard output, 60 a second an event, 10 for what went well, the rest counted; a full pipe drops and counts; attempts, refusals and losses carry the statement's id in entry and home; counters, latency histogram and gauges on a metrics address.

--- a/src/proxy/caller_task.cpp
+++ b/src/proxy/caller_task.cpp
@@ -253,12 +253,24 @@
 void caller_task::take_result(const std::string &id, run_result result)
 {
     run_.reset();
+    const auto took =
+        std::chrono::duration_cast<std::chrono::microseconds>(clock_type::now() - last_message_);
+    const auto outcome = result.error ? std::string(platform::code_word(result.error->code)) : "ok";
+    environment_.metrics->count("baobabport_statements_total", "outcome=\"" + outcome + '"');
+    environment_.metrics->record("baobabport_statement_seconds", "", took);
+    const auto took_ms = std::to_string(took.count() / 1000);
     if (result.error) {
-        support::log_event("statement_failed",
-                           {{"id", id},
-                            {"database", database_},
-                            {"code", std::string(platform::code_word(result.error->code))},
-                            {"reason", result.error->text}});
+        support::log_event("statement_failed", {{"id", id},
+                                                {"database", database_},
+                                                {"instance", result.instance},
+                                                {"code", outcome},
+                                                {"reason", result.error->text},
+                                                {"took_ms", took_ms},
+                                                {"version", std::to_string(environment_.routes->version())}});
+    } else {
+        support::log_routine(
+            "statement_served",
+            {{"id", id}, {"database", database_}, {"instance", result.instance}, {"took_ms", took_ms}});
     }
     if (result.ends_transaction)
         release_transaction();
--- a/src/proxy/instance_access.cpp
+++ b/src/proxy/instance_access.cpp
@@ -1,6 +1,7 @@
 #include "proxy/instance_access.h"
 
 #include "support/boot_clock.h"
+#include "support/json_log.h"
 
 #include <algorithm>
 #include <utility>
@@ -116,13 +117,13 @@
 {
     const auto wait = std::chrono::ceil<std::chrono::milliseconds>(expected_wait).count();
     const auto &scheduler = state_->schedulers.at(request_.instance);
-    finish({work_outcome::not_run,
-            "the instance " + request_.instance + " is busy for " + std::to_string(wait) + " ms, with " +
-                std::to_string(scheduler.running()) + " statements running and " +
-                std::to_string(scheduler.waiting()) + " waiting",
-            true,
-            {},
-            0});
+    support::log_event("work_refused", {{"id", request_.id},
+                                        {"instance", request_.instance},
+                                        {"expected_wait_ms", std::to_string(wait)},
+                                        {"wait_limit_ms", std::to_string(request_.wait_left.count())},
+                                        {"running", std::to_string(scheduler.running())},
+                                        {"waiting", std::to_string(scheduler.waiting())}});
+    finish({work_outcome::not_run, "the instance is busy for " + std::to_string(wait) + " ms", true, {}, 0});
 }
 
 void instance_access::work::run_on_new_connection()
@@ -256,6 +257,10 @@
 
 void instance_access::work::lose(work_outcome outcome, std::string reason)
 {
+    support::log_event("work_lost", {{"id", request_.id},
+                                     {"instance", request_.instance},
+                                     {"outcome", outcome == work_outcome::lost ? "may have run" : "not run"},
+                                     {"reason", reason}});
     pool_->drop(connection_);
     state_->transactions.erase(request_.transaction);
     finish({outcome, std::move(reason), false, {}, 0});
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -18,10 +18,11 @@
 {
     std::string process;
     std::string data_centre;
-    support::address callers;              ///< where sessions come in
-    support::address probe;                ///< where the balancer asks whether to send sessions
-    std::optional<support::address> admin; ///< state dump and metrics
-    support::address peers;                ///< where the other processes reach this one
+    support::address callers;                ///< where sessions come in
+    support::address probe;                  ///< where the balancer asks whether to send sessions
+    std::optional<support::address> admin;   ///< state dump and metrics
+    std::optional<support::address> metrics; ///< a fixed port for scrapers
+    support::address peers;                  ///< where the other processes reach this one
     support::address store;
     std::optional<support::address> promotion_orders; ///< none: this VM never replaces a primary
     milliseconds instance_heartbeat{1200};
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -87,10 +87,11 @@
     probe_.emplace(base_, settings_.probe, max_admin_body, [this](const auto &, const auto &answer) {
         answer->send({ready() ? 200 : 503, "{}", {}});
     });
-    if (settings_.admin) {
-        admin_.emplace(base_, *settings_.admin, max_admin_body,
-                       [this](const auto &request, const auto &answer) { answer_admin(request, *answer); });
-    }
+    const auto admin = [this](const auto &request, const auto &answer) { answer_admin(request, *answer); };
+    if (settings_.admin)
+        admin_.emplace(base_, *settings_.admin, max_admin_body, admin);
+    if (settings_.metrics)
+        metrics_server_.emplace(base_, *settings_.metrics, max_admin_body, admin);
 }
 
 void proxy_task::accept(int socket)
@@ -341,12 +342,33 @@
 
 void proxy_task::answer_admin(const http::server_request &request, http::responder &answer)
 {
-    if (request.path == "/metrics")
+    if (request.path == "/metrics") {
+        refresh_gauges();
         answer.send({200, metrics_.text(), {}, "text/plain; version=0.0.4"});
-    else if (request.path == "/v1/state")
+    } else if (request.path == "/v1/state") {
         answer.send({200, state_dump(), {}});
-    else
+    } else {
         answer.send({404, R"({"error":"no such page; /metrics and /v1/state are there"})", {}});
+    }
+}
+
+void proxy_task::refresh_gauges()
+{
+    const auto now = clock_type::now();
+    metrics_.set("baobabport_sessions", "", static_cast<double>(callers_.size()));
+    metrics_.set("baobabport_desired_state_version", "", static_cast<double>(routes_.version()));
+    metrics_.set("baobabport_store_calls", "", static_cast<double>(store_.calls()));
+    metrics_.set("baobabport_store_silent_seconds", "",
+                 std::chrono::duration<double>(store_silence(now)).count());
+    metrics_.set("baobabport_open_transactions", "", static_cast<double>(access_.open_transactions()));
+    metrics_.set("baobabport_holds_failover_duty", "", duty_ && duty_->held(now) ? 1 : 0);
+    for (const auto &[service, group] : groups_) {
+        const auto labels = "service=\"" + service + '"';
+        metrics_.set("baobabport_group_term", labels, static_cast<double>(group->state().term()));
+        metrics_.set("baobabport_group_has_primary", labels, group->state().primary() ? 1 : 0);
+        metrics_.set("baobabport_waiting_confirmations", labels,
+                     static_cast<double>(group->waiting_confirmations()));
+    }
 }
 
 std::string proxy_task::state_dump() const
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -71,6 +71,7 @@
     std::shared_ptr<group_task> group_of(const std::string &service);
     [[nodiscard]] bool ready() const;
     [[nodiscard]] std::string state_dump() const;
+    void refresh_gauges();
     void answer_admin(const http::server_request &request, http::responder &answer);
     [[nodiscard]] std::uint32_t connection_limit(const std::string &service) const;
 
@@ -101,6 +102,7 @@
     std::uint64_t last_caller_ = 0;
     std::optional<http::http_server> probe_;
     std::optional<http::http_server> admin_;
+    std::optional<http::http_server> metrics_server_;
     evconnlistener *listener_ = nullptr;
     inner::timer timer_;
     std::optional<time_point> draining_since_;
--- a/src/proxy/settings_file.cpp
+++ b/src/proxy/settings_file.cpp
@@ -73,6 +73,7 @@
     read_address(fields, "callers", out.callers);
     read_address(fields, "probe", out.probe);
     read_optional_address(fields, "admin", out.admin);
+    read_optional_address(fields, "metrics", out.metrics);
     read_address(fields, "peers", out.peers);
     read_address(fields, "store", out.store);
     read_optional_address(fields, "promotion_orders", out.promotion_orders);
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -216,8 +216,21 @@
         executor_->end_transaction(vm_, answer.transaction);
 }
 
+void statement_run::note_attempt(const char *outcome, const std::string &detail) const
+{
+    support::log_event("statement_attempt_failed", {{"id", request_.id},
+                                                    {"instance", instance_},
+                                                    {"home", vm_.empty() ? "here" : vm_},
+                                                    {"attempt", std::to_string(attempts_)},
+                                                    {"at_primary", at_primary_ ? "yes" : "no"},
+                                                    {"term", std::to_string(group_->state().term())},
+                                                    {"outcome", outcome},
+                                                    {"detail", detail}});
+}
+
 void statement_run::take_loss(const inner::work_answer &answer)
 {
+    note_attempt(answer.outcome == inner::work_outcome::lost ? "may have run" : "not run", answer.reason);
     const bool may_have_run = answer.outcome == inner::work_outcome::lost;
     if (may_have_run)
         group_->distrust(instance_, clock_type::now());
@@ -238,6 +251,7 @@
 
 void statement_run::take_error(const session::failure &error)
 {
+    note_attempt("error", std::string(platform::code_word(error.code)) + ' ' + error.text);
     if (error.code == answer_code::read_only && at_primary_)
         group_->reject_primary(instance_);
     const bool first_of_transaction = within_ && !within_->forwarded;
@@ -349,6 +363,7 @@
 void statement_run::finish()
 {
     stage_ = stage::over;
+    result_.instance = instance_;
     result_.ends_transaction = within_ && is_commit();
     result_.fails_transaction = within_ && result_.error && !result_.ends_transaction;
     retry_timer_.reset();
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -40,6 +40,7 @@
     std::vector<std::string> rows;
     std::string receipt;
     std::optional<session::failure> error;
+    std::string instance; ///< that answered, or was asked last
     bool ends_transaction = false;
     bool fails_transaction = false;
 };
@@ -114,6 +115,7 @@
     void choose_reader();
     void send(const std::string &vm, const std::string &instance);
     void take_answer(const inner::work_answer &answer);
+    void note_attempt(const char *outcome, const std::string &detail) const;
     void take_late_answer(const inner::work_answer &answer);
     void take_loss(const inner::work_answer &answer);
     void take_error(const session::failure &error);
--- a/src/support/json_log.cpp
+++ b/src/support/json_log.cpp
@@ -1,9 +1,12 @@
 #include "support/json_log.h"
 
 #include <chrono>
-#include <cstdio>
+#include <climits>
 #include <glog/logging.h>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 namespace baobabport::support {
 
@@ -11,7 +14,7 @@
 
 namespace {
 
-/// Wraps each line that glog hands on as one JSON object on standard error.
+/// Wraps each line that glog hands on as one JSON object on standard output.
 class json_sink : public google::LogSink
 {
 public:
@@ -32,14 +35,61 @@
         out["process"] = process_;
         if (severity >= google::GLOG_WARNING)
             out["at"] = std::string(file) + ':' + std::to_string(line);
-        const auto dumped = out.dump(-1, ' ', false, json::error_handler_t::replace) + '\n';
-        std::fputs(dumped.c_str(), stderr);
+        if (dropped_ > 0)
+            out["lines_dropped"] = dropped_;
+        write_line(out.dump(-1, ' ', false, json::error_handler_t::replace));
     }
 
 private:
+    /// A pipe that is ready takes this many bytes whole.
+    static constexpr std::size_t max_line = PIPE_BUF;
+
+    void write_line(std::string line)
+    {
+        if (line.size() >= max_line)
+            line = json{{"event", "line_too_long"}, {"bytes", line.size()}, {"process", process_}}.dump();
+        line += '\n';
+        pollfd out{STDOUT_FILENO, POLLOUT, 0};
+        const bool taken = poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) &&
+                           write(STDOUT_FILENO, line.data(), line.size()) >= 0;
+        if (taken)
+            dropped_ = 0;
+        else
+            ++dropped_;
+    }
+
+    std::uint64_t dropped_ = 0; ///< since the last line that was taken
     std::string process_;
 };
 
+/// Counts an event's lines of the present second.
+struct event_volume
+{
+    std::chrono::steady_clock::time_point since;
+    std::uint32_t written = 0;
+    std::uint32_t left_out = 0;
+};
+
+/// Returns true if a line of the event may be written; reports what was left out before.
+bool within_volume(const char *event, std::uint32_t limit)
+{
+    static std::map<std::string, event_volume> volumes; // the loop's thread is the only one that logs
+    auto &volume = volumes[event];
+    const auto now = std::chrono::steady_clock::now();
+    if (now - volume.since >= std::chrono::seconds(1)) {
+        if (volume.left_out > 0) {
+            LOG(INFO) << json{{"event", "lines_left_out"}, {"of", event}, {"count", volume.left_out}}.dump();
+        }
+        volume = {now, 0, 0};
+    }
+    if (volume.written >= limit) {
+        ++volume.left_out;
+        return false;
+    }
+    ++volume.written;
+    return true;
+}
+
 std::string line_of_fields(const char *event, std::initializer_list<log_field> fields)
 {
     json out;
@@ -65,12 +115,20 @@
 
 void log_event(const char *event, std::initializer_list<log_field> fields)
 {
-    LOG(INFO) << line_of_fields(event, fields);
+    if (within_volume(event, max_lines_per_event))
+        LOG(INFO) << line_of_fields(event, fields);
+}
+
+void log_routine(const char *event, std::initializer_list<log_field> fields)
+{
+    if (within_volume(event, max_routine_lines))
+        LOG(INFO) << line_of_fields(event, fields);
 }
 
 void log_warning(const char *event, std::initializer_list<log_field> fields)
 {
-    LOG(WARNING) << line_of_fields(event, fields);
+    if (within_volume(event, max_lines_per_event))
+        LOG(WARNING) << line_of_fields(event, fields);
 }
 
 } // namespace baobabport::support
