A statement given up on is not delivered when its link heals

Ruled out: a repeat by the entry; the id was sent once. Change: links end after 1.5 s of unacknowledged bytes, and a link that was silent since a statement was sent is reset when the statement is given up, which discards what it holds.

--- a/src/inner/pooler_links.cpp
+++ b/src/inner/pooler_links.cpp
@@ -40,6 +40,13 @@
     link.connection->send(kind, std::move(body), timeout, std::move(done));
 }
 
+void pooler_links::drop(const std::string &pooler)
+{
+    const auto it = links_.find(pooler);
+    if (it != links_.end() && it->second.connection)
+        it->second.connection->discard();
+}
+
 bool pooler_links::connected(const std::string &pooler) const
 {
     const auto it = links_.find(pooler);
--- a/src/inner/pooler_links.h
+++ b/src/inner/pooler_links.h
@@ -31,6 +31,9 @@
     void send(const std::string &pooler, message_kind kind, std::string body,
               std::chrono::milliseconds timeout, stream_connection::outcome_hook done);
 
+    /// Ends a link, so that nothing sent on it arrives later than now. What waits on it is not answered.
+    void drop(const std::string &pooler);
+
     [[nodiscard]] bool connected(const std::string &pooler) const;
     [[nodiscard]] std::size_t open_links() const;
 
--- a/src/inner/stream_connection.cpp
+++ b/src/inner/stream_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "inner/message_codec.h"
 #include "support/keys.h"
+#include "support/socket_options.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -120,8 +121,7 @@
     void start_server(int socket)
     {
         socket_ = bufferevent_socket_new(base_, socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-        const int on = 1;
-        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        support::tune_socket(socket);
         start_socket();
         start_session();
         flush();
@@ -161,6 +161,13 @@
         flush();
     }
 
+    void discard()
+    {
+        if (socket_)
+            support::discard_on_close(bufferevent_getfd(socket_));
+        close_soon("discarded");
+    }
+
     void announce_stop()
     {
         if (closed_)
@@ -383,8 +390,7 @@
         auto *const me = static_cast<impl *>(self);
         if (what & BEV_EVENT_CONNECTED) {
             me->connected_ = true;
-            const int on = 1;
-            setsockopt(bufferevent_getfd(me->socket_), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+            support::tune_socket(bufferevent_getfd(me->socket_));
             return;
         }
         if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
@@ -578,6 +584,10 @@
 {
     impl_->reply(stream, std::move(body));
 }
+void stream_connection::discard()
+{
+    impl_->discard();
+}
 void stream_connection::announce_stop()
 {
     impl_->announce_stop();
--- a/src/inner/stream_connection.h
+++ b/src/inner/stream_connection.h
@@ -81,6 +81,9 @@
     /// Answers a message that came in. A stream that ended meanwhile is passed over.
     void reply(stream_id stream, std::string body);
 
+    /// Ends the connection; what the other side has not received yet never arrives.
+    void discard();
+
     /// Tells the other side to send nothing new; what is in progress goes on.
     void announce_stop();
 
--- a/src/proxy/caller_task.cpp
+++ b/src/proxy/caller_task.cpp
@@ -1,8 +1,8 @@
 #include "proxy/caller_task.h"
 
-#include "proxy/socket_options.h"
 #include "support/boot_clock.h"
 #include "support/json_log.h"
+#include "support/socket_options.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -24,7 +24,7 @@
       session_(std::make_shared<session::session_context>()), last_message_(clock_type::now())
 {
     socket_ = bufferevent_socket_new(environment_.base, socket, BEV_OPT_CLOSE_ON_FREE);
-    tune_socket(socket);
+    support::tune_socket(socket);
 }
 
 caller_task::~caller_task()
--- a/src/proxy/peer_task.cpp
+++ b/src/proxy/peer_task.cpp
@@ -145,18 +145,19 @@
         return;
     }
     auto &health = health_[vm];
+    const auto sent_at = clock_type::now();
     if (health.outstanding++ == 0)
-        health.heard_at = clock_type::now();
+        health.heard_at = sent_at;
     const auto timeout = request.time_left + instance_access::late_answer;
     const std::weak_ptr<bool> alive = alive_;
     links_.send(vm, message_kind::work, inner::encode(request), timeout,
-                [this, alive, vm, done = std::move(done)](const auto &outcome) {
+                [this, alive, vm, sent_at, done = std::move(done)](const auto &outcome) {
                     if (!alive.expired())
-                        take_outcome(vm, outcome, done);
+                        take_outcome(vm, sent_at, outcome, done);
                 });
 }
 
-void peer_task::take_outcome(const std::string &vm, const inner::stream_outcome &outcome,
+void peer_task::take_outcome(const std::string &vm, time_point sent_at, const inner::stream_outcome &outcome,
                              const answer_hook &done)
 {
     auto &health = health_[vm];
@@ -175,6 +176,9 @@
         health.avoided_until = now + health.next_avoidance;
         health.next_avoidance = std::min(health.next_avoidance * 2, avoid_longest);
     }
+    // Nothing came since: the link may be cut, and must not deliver the statement when it heals.
+    if (!outcome.answered && health.heard_at <= sent_at)
+        links_.drop(vm);
     const bool lost = outcome.answered || outcome.may_have_arrived;
     done({lost ? work_outcome::lost : work_outcome::not_run,
           "the process " + vm + " did not answer",
--- a/src/proxy/peer_task.h
+++ b/src/proxy/peer_task.h
@@ -84,7 +84,8 @@
     void accept(int socket);
     void serve(std::uint64_t owner, inner::message_kind kind, const std::string &body,
                inner::stream_connection::stream_id stream);
-    void take_outcome(const std::string &vm, const inner::stream_outcome &outcome, const answer_hook &done);
+    void take_outcome(const std::string &vm, time_point sent_at, const inner::stream_outcome &outcome,
+                      const answer_hook &done);
     [[nodiscard]] bool avoided(const std::string &vm, time_point now) const;
 
     event_base *base_;
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -1,7 +1,7 @@
 #include "proxy/upstream_connection.h"
 
-#include "proxy/socket_options.h"
 #include "support/json_log.h"
+#include "support/socket_options.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -46,7 +46,7 @@
     bufferevent_write(socket_, out.data(), out.size());
     const auto to_address = socket_address(target_.at);
     bufferevent_socket_connect(socket_, reinterpret_cast<const sockaddr *>(&to_address), sizeof(to_address));
-    tune_socket(bufferevent_getfd(socket_));
+    support::tune_socket(bufferevent_getfd(socket_));
 }
 
 void upstream_connection::send(std::string_view id, std::string_view text, answer_hook done)
--- a/src/proxy/socket_options.cpp
+++ b/src/support/socket_options.cpp
@@ -1,10 +1,10 @@
-#include "proxy/socket_options.h"
+#include "support/socket_options.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-namespace baobabport::proxy {
+namespace baobabport::support {
 
 namespace {
 
@@ -30,4 +30,10 @@
     set(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(peer_silence.count()));
 }
 
-} // namespace baobabport::proxy
+void discard_on_close(int socket)
+{
+    const linger at_once{1, 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
+} // namespace baobabport::support
--- a/src/proxy/socket_options.h
+++ b/src/support/socket_options.h
@@ -4,7 +4,7 @@
 
 #include <chrono>
 
-namespace baobabport::proxy {
+namespace baobabport::support {
 
 /// Unacknowledged bytes end a connection after this time; below the instances' own limit of 3 s.
 inline constexpr std::chrono::milliseconds peer_silence{1500};
@@ -14,4 +14,9 @@
  */
 void tune_socket(int socket);
 
-} // namespace baobabport::proxy
+/**
+ * Makes the socket's close discard what its peer has not received yet.
+ */
+void discard_on_close(int socket);
+
+} // namespace baobabport::support
--- /dev/null
+++ b/tests/proxy/test_peer_task.cpp
@@ -0,0 +1,122 @@
+// Work at other processes: what a cut link must not do later, and who is a home.
+
+#include "proxy/peer_task.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <catch2/catch.hpp>
+#include <event2/event.h>
+#include <event2/util.h>
+#include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace baobabport;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A process that takes connections and never reads.
+struct silent_peer
+{
+    silent_peer()
+    {
+        listener = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in it{};
+        it.sin_family = AF_INET;
+        it.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::bind(listener, reinterpret_cast<sockaddr *>(&it), sizeof(it)) == 0);
+        REQUIRE(::listen(listener, 4) == 0);
+        socklen_t length = sizeof(it);
+        ::getsockname(listener, reinterpret_cast<sockaddr *>(&it), &length);
+        at = {"127.0.0.1", ntohs(it.sin_port)};
+        evutil_make_socket_nonblocking(listener);
+    }
+    ~silent_peer() { ::close(listener); }
+    silent_peer(const silent_peer &) = delete;
+    silent_peer &operator=(const silent_peer &) = delete;
+
+    int listener = -1;
+    support::address at;
+};
+
+support::address free_address()
+{
+    const silent_peer it;
+    return it.at;
+}
+
+template <typename Condition>
+bool run_until(event_base *base, Condition condition)
+{
+    constexpr std::chrono::seconds patience{10};
+    const auto end = std::chrono::steady_clock::now() + patience;
+    auto *const wake = event_new(
+        base, -1, EV_PERSIST, [](int, short, void *) {}, nullptr);
+    const timeval interval{0, 5000};
+    event_add(wake, &interval);
+    while (!condition() && std::chrono::steady_clock::now() < end)
+        event_base_loop(base, EVLOOP_ONCE);
+    event_free(wake);
+    return condition();
+}
+
+const proxy::time_point now{std::chrono::hours(1)};
+
+} // namespace
+
+TEST_CASE("a statement given up on is not delivered when its link heals")
+{
+    auto *const base = event_base_new();
+    const silent_peer peer;
+    {
+        proxy::instance_access access([](const auto &, const auto &) { return nullptr; });
+        proxy::peer_task peers(base, {"self", "erie", free_address(), "key"}, access);
+        peers.set_members({{"peer", "erie", peer.at.text()}});
+        inner::work_request work;
+        work.time_left = milliseconds(100);
+        std::optional<inner::work_answer> answer;
+        peers.execute("peer", work, [&answer](const auto &it) { answer = it; });
+        int accepted = -1;
+        REQUIRE(run_until(base, [&] {
+            accepted = accepted >= 0 ? accepted : ::accept(peer.listener, nullptr, nullptr);
+            return answer.has_value();
+        }));
+        CHECK(answer->outcome != inner::work_outcome::answered);
+        REQUIRE(accepted >= 0);
+        // The other side finds the connection reset, not closed with bytes to read.
+        bool reset = false;
+        CHECK(run_until(base, [&] {
+            std::array<char, 4096> bytes{}; // of the greeting
+            reset = reset || (::recv(accepted, bytes.data(), bytes.size(), MSG_DONTWAIT) < 0 &&
+                              errno == ECONNRESET);
+            return reset;
+        }));
+        ::close(accepted);
+    }
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    event_base_free(base);
+}
+
+TEST_CASE("an instance's home is the same for every process, and near the instance")
+{
+    auto *const base = event_base_new();
+    {
+        proxy::instance_access access([](const auto &, const auto &) { return nullptr; });
+        const std::vector<inner::member> all{{"a", "erie", free_address().text()},
+                                             {"b", "erie", free_address().text()},
+                                             {"c", "huron", free_address().text()}};
+        std::vector<std::string> homes;
+        for (const auto &it : all) {
+            proxy::peer_task peers(base, {it.vm, it.data_centre, *support::parse_address(it.address), "key"},
+                                   access);
+            peers.set_members(all);
+            const auto home = peers.home_of("i-1", "erie", now);
+            homes.push_back(home.empty() ? it.vm : home);
+        }
+        CHECK(homes[0] == homes[1]);
+        CHECK(homes[0] == homes[2]);
+        CHECK(homes[0] != "c");
+    }
+    event_base_free(base);
+}
