--- a/src/pooler/pooler_task.cpp
+++ b/src/pooler/pooler_task.cpp
@@ -5,8 +5,6 @@
 #include "support/json_log.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
-#include <event2/listener.h>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -24,7 +22,6 @@
 constexpr std::chrono::milliseconds document_timeout{500};
 constexpr std::chrono::milliseconds store_timeout{1000};
 constexpr std::chrono::milliseconds default_deadline{2000};
-constexpr int listen_backlog = 1024;
 
 /// A home without requests for this long ends. Longer than a team's pause between two requests.
 constexpr std::chrono::seconds home_kept{60};
@@ -62,31 +59,12 @@
     hooks.drain = [this] { drain(); };
     operators_ = std::make_unique<http::operator_server>(base, settings_.operators, settings_.keys.operators,
                                                          settings_.keys.former_operators, std::move(hooks));
-    listen();
+    listener_.emplace(base_, *settings_.inner, [this](int socket) { accept(socket); });
     housekeeping_.repeat(housekeeping_interval);
     support::log_event("started", {{"inner", settings_.inner->text()}});
 }
 
-pooler_task::~pooler_task()
-{
-    if (listener_)
-        evconnlistener_free(listener_);
-}
-
-void pooler_task::listen()
-{
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_port = htons(settings_.inner->port);
-    inet_pton(AF_INET, settings_.inner->ip.c_str(), &at.sin_addr);
-    const auto accepted = [](evconnlistener * /*listener*/, evutil_socket_t socket, sockaddr * /*from*/,
-                             int /*length*/,
-                             void *self) { static_cast<pooler_task *>(self)->accept(socket); };
-    listener_ = evconnlistener_new_bind(base_, accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-                                        listen_backlog, reinterpret_cast<sockaddr *>(&at), sizeof(at));
-    if (!listener_)
-        throw std::runtime_error("cannot listen on " + settings_.inner->text());
-}
+pooler_task::~pooler_task() = default;
 
 void pooler_task::accept(int socket)
 {
--- a/src/pooler/pooler_task.h
+++ b/src/pooler/pooler_task.h
@@ -13,6 +13,7 @@
 #include "store/store_client.h"
 #include "store/vm_list.h"
 #include "support/metrics.h"
+#include "support/socket_options.h"
 
 #include <functional>
 #include <map>
@@ -20,8 +21,6 @@
 #include <string>
 #include <vector>
 
-struct evconnlistener;
-
 namespace baobabport::pooler {
 
 /**
@@ -66,7 +65,6 @@
         std::vector<waiting_request> waiting; ///< for the first document
     };
 
-    void listen();
     void accept(int socket);
     void received(std::uint64_t connection, inner::message_kind kind, const std::string &body,
                   inner::stream_connection::stream_id stream);
@@ -106,7 +104,7 @@
     std::unique_ptr<http::operator_server> operators_;
     support::metrics metrics_;
     inner::timer housekeeping_;
-    evconnlistener *listener_ = nullptr;
+    std::optional<support::listener> listener_;
     std::uint64_t next_connection_ = 1;
     home::request_key next_key_ = 1;
     bool draining_ = false;
--- a/src/proxy/caller_task.cpp
+++ b/src/proxy/caller_task.cpp
@@ -36,17 +36,25 @@
 void caller_task::start()
 {
     bufferevent_setcb(socket_, on_read, on_write, on_event, this);
+    bufferevent_setwatermark(socket_, EV_READ, 0, max_ahead);
     bufferevent_enable(socket_, EV_READ | EV_WRITE);
 }
 
-void caller_task::on_read(bufferevent *socket, void *self)
+void caller_task::on_read(bufferevent * /*socket*/, void *self)
 {
     const auto me = static_cast<caller_task *>(self)->shared_from_this();
-    auto *const input = bufferevent_get_input(socket);
+    me->take_lines();
+}
+
+std::optional<std::string> caller_task::next_line()
+{
+    if (auto line = reader_.next())
+        return line;
+    auto *const input = bufferevent_get_input(socket_);
     std::string bytes(evbuffer_get_length(input), '\0');
     evbuffer_remove(input, bytes.data(), bytes.size());
-    me->reader_.append(bytes);
-    me->take_lines();
+    reader_.append(bytes);
+    return reader_.next();
 }
 
 void caller_task::on_write(bufferevent * /*socket*/, void *self)
@@ -54,6 +62,13 @@
     const auto me = static_cast<caller_task *>(self)->shared_from_this();
     if (me->phase_ == phase::closing)
         me->end();
+    else
+        me->take_lines(); // the caller has read what kept its statements waiting
+}
+
+bool caller_task::is_unread() const
+{
+    return evbuffer_get_length(bufferevent_get_output(socket_)) > max_unread;
 }
 
 void caller_task::on_event(bufferevent * /*socket*/, short what, void *self)
@@ -69,8 +84,8 @@
         return; // an answer came at once; the loop below goes on
     taking_ = true;
     // One statement at a time: what a caller sends ahead waits in the buffer.
-    while (socket_ && !run_ && phase_ != phase::closing) {
-        const auto line = reader_.next();
+    while (socket_ && !run_ && phase_ != phase::closing && !is_unread()) {
+        const auto line = next_line();
         if (!line)
             break;
         take(platform::read_caller_line(*line));
--- a/src/proxy/caller_task.h
+++ b/src/proxy/caller_task.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 struct event_base;
@@ -37,6 +38,8 @@
 public:
     /// A caller that has not named its database by then is cut off.
     static constexpr std::chrono::milliseconds open_timeout{5000};
+    /// Bytes that a caller may send ahead while a statement runs; the rest waits on its side.
+    static constexpr std::size_t max_ahead = std::size_t{256} * 1024;
     /// Bytes that a caller may leave unread before its statements wait.
     static constexpr std::size_t max_unread = std::size_t{4} * 1024 * 1024;
 
@@ -70,6 +73,8 @@
     static void on_event(bufferevent *socket, short what, void *self);
 
     void take_lines();
+    std::optional<std::string> next_line();
+    [[nodiscard]] bool is_unread() const;
     void take(const session::caller_message &message);
     void take(const session::open_session &message);
     void take(const session::statement_request &message);
--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -9,7 +9,6 @@
 namespace baobabport::proxy {
 
 using clock_type = support::boot_clock;
-using consistency::instance_role;
 using support::log_event;
 
 group_task::group_task(event_base *base, const work_executor &executor, group_identity identity)
@@ -268,111 +267,6 @@
         it->second.distrusted_until = now + distrust_time;
 }
 
-void group_task::command(const std::string &id, const std::string &text, report_hook done)
-{
-    const auto pool = pool_of(id);
-    if (!pool) {
-        done(std::nullopt);
-        return;
-    }
-    const std::weak_ptr<group_task *> weak = self_;
-    const connection_request request{0, clock_type::now() + probe_timeout, nullptr};
-    pool->acquire(request, [weak, id, text, pool, done = std::move(done)](const auto &connection, auto) {
-        if (!connection) {
-            done(std::nullopt);
-            return;
-        }
-        const auto asked_at = clock_type::now();
-        connection->give_up_at = asked_at + probe_timeout;
-        connection->send(platform::own_statement_id, text,
-                         [weak, id, pool, connection, asked_at, done](const auto &answer) {
-                             std::optional<replication::member_report> report;
-                             if (answer && !answer->error && !answer->rows.empty())
-                                 report = platform::read_member_report(answer->rows.front());
-                             const auto self = weak.lock();
-                             if (answer)
-                                 pool->release(connection);
-                             if (self && report) {
-                                 if (answer->end.log)
-                                     (*self)->state_.observe_applied(id, *answer->end.log, asked_at);
-                                 (*self)->take_report(id, *report, asked_at);
-                             }
-                             done(report);
-                         });
-    });
-}
-
-void group_task::probe(const std::string &id, bool directly)
-{
-    const auto found = members_.find(id);
-    const auto now = clock_type::now();
-    if (found == members_.end() || (found->second.probing && now - found->second.probe_sent < probe_timeout))
-        return;
-    found->second.probing = true;
-    found->second.probe_sent = now;
-    const std::weak_ptr<group_task *> weak = self_;
-    const report_hook done = [weak, id](const auto &report) {
-        const auto self = weak.lock();
-        if (!self)
-            return;
-        const auto it = (*self)->members_.find(id);
-        if (it != (*self)->members_.end())
-            it->second.probing = false;
-        // Without a report the next tick asks again: the failure may have come at once.
-        if (report)
-            (*self)->ask_replicas(clock_type::now());
-    };
-    if (directly)
-        command(id, platform::status_text(), done);
-    else
-        probe_through_home(id, done);
-}
-
-void group_task::probe_through_home(const std::string &id, const report_hook &done)
-{
-    inner::work_request work;
-    work.service = identity_.service;
-    work.instance = id;
-    work.time_left = probe_timeout;
-    work.wait_left = probe_timeout;
-    work.id = platform::own_statement_id;
-    work.text = platform::status_text();
-    const auto asked_at = clock_type::now();
-    const std::weak_ptr<group_task *> weak = self_;
-    executor_.execute(executor_.home_of(id, data_centre_of(id)), std::move(work),
-                      [weak, id, asked_at, done](const inner::work_answer &answer) {
-                          std::optional<replication::member_report> report;
-                          if (answer.outcome == inner::work_outcome::answered && !answer.answer.error &&
-                              !answer.answer.rows.empty())
-                              report = platform::read_member_report(answer.answer.rows.front());
-                          const auto self = weak.lock();
-                          if (self && report)
-                              (*self)->take_report(id, *report, asked_at);
-                          done(report);
-                      });
-}
-
-void group_task::take_report(const std::string &id, const replication::member_report &report,
-                             time_point asked_at)
-{
-    const auto former = state_.primary();
-    const auto former_term = state_.term();
-    const bool was_contested = state_.contested();
-    state_.observe(id, report, asked_at);
-    if (state_.primary() != former || state_.term() != former_term) {
-        log_event("primary_known", {{"service", identity_.service},
-                                    {"instance", state_.primary().value_or("none")},
-                                    {"term", std::to_string(state_.term())}});
-    }
-    if (state_.contested() && !was_contested) {
-        log_event("primary_contested", {{"service", identity_.service},
-                                        {"replica", id},
-                                        {"paused_at", std::to_string(report.paused_at)},
-                                        {"term", std::to_string(report.term)}});
-    }
-    review(clock_type::now());
-}
-
 void group_task::review(time_point now)
 {
     if (leased(now))
@@ -419,72 +313,6 @@
         it.done(it.condition());
 }
 
-std::vector<std::string> group_task::replicas_by_preference(time_point now) const
-{
-    std::vector<std::string> out;
-    for (const auto &[id, it] : members_) {
-        if (state_.primary() != id)
-            out.push_back(id);
-    }
-    const auto cost = [this, now](const std::string &id) {
-        const auto &it = members_.at(id);
-        return (it.record.data_centre == identity_.data_centre ? 0 : 1) +
-               (now < it.distrusted_until || !it.pool->reachable(now) ? 4 : 0);
-    };
-    std::stable_sort(out.begin(), out.end(),
-                     [&cost](const auto &a, const auto &b) { return cost(a) < cost(b); });
-    return out;
-}
-
-void group_task::ask_replicas(time_point now)
-{
-    const bool floor_stale = !conditions_.empty();
-    if (confirmations_.empty() && !floor_stale)
-        return;
-    // While a promotion is under way, the search for the primary asks everyone.
-    const bool searching = state_.contested() || !state_.primary();
-    if (now - confirmations_asked_at_ < (searching ? search_interval : confirm_interval))
-        return;
-    confirmations_asked_at_ = now;
-    if (floor_stale && state_.primary())
-        probe(*state_.primary());
-    bool wanted = floor_stale;
-    for (const auto &it : confirmations_)
-        wanted = wanted || state_.confirmed_at() < it.request.since;
-    if (!wanted)
-        return;
-    for (const auto &id : replicas_by_preference(now)) {
-        const auto &it = members_.at(id);
-        const bool overdue = it.probing && now - it.probe_sent >= second_replica_after;
-        probe(id);
-        if (!overdue)
-            break;
-    }
-}
-
-void group_task::search_primary(time_point now)
-{
-    if (state_.primary() && !state_.contested())
-        return;
-    if (now - searched_at_ < search_interval || now - informed_at_ < informed_time)
-        return;
-    searched_at_ = now;
-    for (const auto &it : members_)
-        probe(it.first);
-}
-
-void group_task::refresh_floor(time_point now)
-{
-    if (now - floor_wanted_at_ > floor_demand || !state_.primary())
-        return;
-    if (state_.floor_at(now - floor_refresh))
-        return;
-    probe(*state_.primary());
-    const auto replicas = replicas_by_preference(now);
-    if (!replicas.empty() && !leased(now))
-        probe(replicas.front());
-}
-
 void group_task::tick(time_point now)
 {
     std::vector<std::shared_ptr<instance_pool>> pools;
--- a/src/proxy/instance_access.cpp
+++ b/src/proxy/instance_access.cpp
@@ -40,7 +40,7 @@
     void send();
     void take(const std::optional<session::statement_answer> &answer);
     void lose(work_outcome outcome, std::string reason);
-    void finish(inner::work_answer answer);
+    void finish(const inner::work_answer &answer);
 
     std::shared_ptr<shared_state> state_;
     std::uint64_t owner_;
@@ -247,7 +247,7 @@
         state_->transactions.erase(request_.transaction);
         return_connection(pool_, connection_);
     }
-    finish(std::move(out));
+    finish(out);
 }
 
 void instance_access::work::not_run(std::string reason)
@@ -266,7 +266,7 @@
     finish({outcome, std::move(reason), false, {}, 0});
 }
 
-void instance_access::work::finish(inner::work_answer answer)
+void instance_access::work::finish(const inner::work_answer &answer)
 {
     connection_.reset();
     const auto scheduler = state_->schedulers.find(request_.instance);
--- a/src/proxy/instance_pool.cpp
+++ b/src/proxy/instance_pool.cpp
@@ -152,7 +152,7 @@
             if (same != idle_.end())
                 chosen = same;
         }
-        const auto out = chosen->it;
+        auto out = chosen->it;
         idle_.erase(chosen);
         if (!out->is_closed())
             return out;
--- a/src/proxy/lease_task.cpp
+++ b/src/proxy/lease_task.cpp
@@ -1,8 +1,8 @@
 #include "proxy/lease_task.h"
 
 #include "support/boot_clock.h"
+#include "support/socket_options.h"
 
-#include <arpa/inet.h>
 #include <event2/event.h>
 #include <event2/util.h>
 #include <netinet/in.h>
@@ -17,28 +17,12 @@
 
 constexpr std::size_t max_datagram = 8192; ///< bytes; a group takes about 60
 
-sockaddr_in to_sockaddr(const support::address &at)
-{
-    sockaddr_in out{};
-    out.sin_family = AF_INET;
-    out.sin_port = htons(at.port);
-    inet_pton(AF_INET, at.ip.c_str(), &out.sin_addr);
-    return out;
-}
-
-support::address from_sockaddr(const sockaddr_in &from)
-{
-    std::string ip(INET_ADDRSTRLEN, '\0');
-    inet_ntop(AF_INET, &from.sin_addr, ip.data(), static_cast<socklen_t>(ip.size()));
-    return {ip.c_str(), ntohs(from.sin_port)};
-}
-
 } // namespace
 
 lease_task::lease_task(event_base *base, const support::address &at, hooks to) : hooks_(std::move(to))
 {
     socket_ = socket(AF_INET, SOCK_DGRAM, 0);
-    const auto address = to_sockaddr(at);
+    const auto address = support::to_sockaddr(at);
     if (socket_ < 0 || evutil_make_socket_nonblocking(socket_) != 0 ||
         bind(socket_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0)
         throw std::runtime_error("cannot bind the datagram socket to " + at.text());
@@ -67,7 +51,7 @@
     request.number = number;
     hooks_.describe(request);
     const auto bytes = inner::encode(request);
-    const auto to = to_sockaddr(holder->at);
+    const auto to = support::to_sockaddr(holder->at);
     // A datagram that cannot be sent is like one that is lost: the next one follows soon.
     sendto(socket_, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr *>(&to), sizeof(to));
 }
@@ -87,7 +71,7 @@
         return;
     const std::string_view bytes(buf.data(), static_cast<std::size_t>(n));
     if (const auto request = inner::decode_lease_request(bytes)) {
-        const auto answer = hooks_.grant(*request, from_sockaddr(from));
+        const auto answer = hooks_.grant(*request, support::from_sockaddr(from));
         if (!answer)
             return;
         const auto out = inner::encode(*answer);
--- a/src/proxy/peer_task.cpp
+++ b/src/proxy/peer_task.cpp
@@ -3,12 +3,9 @@
 #include "routing/home_ranking.h"
 #include "support/boot_clock.h"
 #include "support/json_log.h"
+#include "support/socket_options.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
-#include <event2/listener.h>
-#include <netinet/in.h>
-#include <stdexcept>
 #include <utility>
 
 namespace baobabport::proxy {
@@ -17,42 +14,15 @@
 using inner::message_kind;
 using inner::work_outcome;
 
-namespace {
-
-constexpr int listen_backlog = 512;
-
-} // namespace
-
 peer_task::peer_task(event_base *base, peer_identity self, instance_access &access)
     : base_(base), self_(std::move(self)), access_(access), links_(base, self_.vm, {self_.key, {}})
 {
-    listen();
-}
-
-peer_task::~peer_task()
-{
-    stop();
-}
-
-void peer_task::listen()
-{
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_port = htons(self_.at.port);
-    inet_pton(AF_INET, self_.at.ip.c_str(), &at.sin_addr);
-    const auto accepted = [](evconnlistener * /*listener*/, evutil_socket_t socket, sockaddr * /*from*/,
-                             int /*length*/, void *self) { static_cast<peer_task *>(self)->accept(socket); };
-    listener_ = evconnlistener_new_bind(base_, accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-                                        listen_backlog, reinterpret_cast<const sockaddr *>(&at), sizeof(at));
-    if (!listener_)
-        throw std::runtime_error("cannot listen on " + self_.at.text());
+    listener_.emplace(base, self_.at, [this](int socket) { accept(socket); });
 }
 
 void peer_task::stop()
 {
-    if (listener_)
-        evconnlistener_free(listener_);
-    listener_ = nullptr;
+    listener_.reset();
 }
 
 void peer_task::accept(int socket)
--- a/src/proxy/peer_task.h
+++ b/src/proxy/peer_task.h
@@ -5,16 +5,17 @@
 #include "inner/lease_messages.h"
 #include "inner/pooler_links.h"
 #include "proxy/instance_access.h"
+#include "support/socket_options.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 struct event_base;
-struct evconnlistener;
 
 namespace baobabport::proxy {
 
@@ -48,7 +49,6 @@
     static constexpr std::size_t ranks = 3;
 
     peer_task(event_base *base, peer_identity self, instance_access &access);
-    ~peer_task();
     peer_task(const peer_task &) = delete;
     peer_task &operator=(const peer_task &) = delete;
 
@@ -80,7 +80,6 @@
         std::unique_ptr<inner::stream_connection> connection;
     };
 
-    void listen();
     void accept(int socket);
     void serve(std::uint64_t owner, inner::message_kind kind, const std::string &body,
                inner::stream_connection::stream_id stream);
@@ -96,7 +95,7 @@
     std::map<std::string, link_health> health_; ///< by VM
     std::map<std::uint64_t, served_link> served_;
     std::uint64_t last_owner_ = 0; ///< 0 is this process
-    evconnlistener *listener_ = nullptr;
+    std::optional<support::listener> listener_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< held weakly by callbacks
 };
 
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -4,11 +4,7 @@
 #include "support/json_log.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
-#include <event2/listener.h>
-#include <netinet/in.h>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 #include <utility>
 
 namespace baobabport::proxy {
@@ -19,17 +15,10 @@
 
 namespace {
 
-constexpr int listen_backlog = 1024;
 constexpr std::size_t max_admin_body = 4096; ///< bytes
 /// A home leaves the rest of an instance's connections to its successor and to the duty's holder.
 constexpr std::uint32_t home_share_percent = 70;
 
-void on_accept(evconnlistener * /*listener*/, evutil_socket_t socket, sockaddr * /*from*/, int /*length*/,
-               void *hook)
-{
-    (*static_cast<std::function<void(int)> *>(hook))(socket);
-}
-
 } // namespace
 
 proxy_task::proxy_task(event_base *base, proxy_settings settings, std::function<void()> stopped)
@@ -65,25 +54,9 @@
     log_event("started", {{"callers", settings_.callers.text()}, {"data_centre", settings_.data_centre}});
 }
 
-proxy_task::~proxy_task()
-{
-    if (listener_)
-        evconnlistener_free(listener_);
-}
-
 void proxy_task::listen()
 {
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_port = htons(settings_.callers.port);
-    inet_pton(AF_INET, settings_.callers.ip.c_str(), &at.sin_addr);
-    static std::function<void(int)> accept_hook; // the listener's callback takes a plain pointer
-    accept_hook = [this](int socket) { accept(socket); };
-    listener_ =
-        evconnlistener_new_bind(base_, on_accept, &accept_hook, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-                                listen_backlog, reinterpret_cast<const sockaddr *>(&at), sizeof(at));
-    if (!listener_)
-        throw std::runtime_error("cannot listen on " + settings_.callers.text());
+    listener_.emplace(base_, settings_.callers, [this](int socket) { accept(socket); });
     probe_.emplace(base_, settings_.probe, max_admin_body, [this](const auto &, const auto &answer) {
         answer->send({ready() ? 200 : 503, "{}", {}});
     });
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -26,7 +26,6 @@
 #include <string>
 
 struct event_base;
-struct evconnlistener;
 
 namespace baobabport::proxy {
 
@@ -41,7 +40,6 @@
     static constexpr std::chrono::milliseconds shutdown_reserve{700};
 
     proxy_task(event_base *base, proxy_settings settings, std::function<void()> stopped);
-    ~proxy_task();
     proxy_task(const proxy_task &) = delete;
     proxy_task &operator=(const proxy_task &) = delete;
 
@@ -103,7 +101,7 @@
     std::optional<http::http_server> probe_;
     std::optional<http::http_server> admin_;
     std::optional<http::http_server> metrics_server_;
-    evconnlistener *listener_ = nullptr;
+    std::optional<support::listener> listener_;
     inner::timer timer_;
     std::optional<time_point> draining_since_;
 };
--- a/src/proxy/settings_file.cpp
+++ b/src/proxy/settings_file.cpp
@@ -61,8 +61,10 @@
         return std::nullopt;
     }
     // The template writes an empty text for what the VM does not have.
-    for (auto it = object->begin(); it != object->end();)
-        it = *it == "" ? object->erase(it) : std::next(it);
+    for (auto it = object->begin(); it != object->end();) {
+        const bool left_out = it->is_string() && it->get_ref<const std::string &>().empty();
+        it = left_out ? object->erase(it) : std::next(it);
+    }
     std::optional<support::field_error> error;
     support::json_fields fields(*object, "", error);
     proxy_settings out;
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -3,7 +3,6 @@
 #include "support/json_log.h"
 #include "support/socket_options.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -12,19 +11,6 @@
 
 namespace baobabport::proxy {
 
-namespace {
-
-sockaddr_in socket_address(const support::address &at)
-{
-    sockaddr_in out{};
-    out.sin_family = AF_INET;
-    out.sin_port = htons(at.port);
-    inet_pton(AF_INET, at.ip.c_str(), &out.sin_addr);
-    return out;
-}
-
-} // namespace
-
 upstream_connection::upstream_connection(event_base *base, upstream_target target)
     : base_(base), target_(std::move(target))
 {
@@ -44,7 +30,7 @@
     std::string out;
     platform::write_open(target_.service, target_.caller, target_.instance, out);
     bufferevent_write(socket_, out.data(), out.size());
-    const auto to_address = socket_address(target_.at);
+    const auto to_address = support::to_sockaddr(target_.at);
     bufferevent_socket_connect(socket_, reinterpret_cast<const sockaddr *>(&to_address), sizeof(to_address));
     support::tune_socket(bufferevent_getfd(socket_));
 }
--- a/src/session/session_context.h
+++ b/src/session/session_context.h
@@ -53,10 +53,9 @@
     void committed_at(consistency::position log);
 
     /**
-     * Returns the position that the session's reads need, or none.
+     * Returns the position of the session's last commit, or none.
      *
-     * A commit of a term before `primary_term` may have been lost with it, so the caller must then take
-     * the floor from the new primary.
+     * One of an earlier term may have been lost with its primary: what was kept, the new one knows.
      */
     [[nodiscard]] std::optional<consistency::position> own_floor() const { return own_floor_; }
 
--- a/src/support/socket_options.cpp
+++ b/src/support/socket_options.cpp
@@ -1,13 +1,18 @@
 #include "support/socket_options.h"
 
+#include <arpa/inet.h>
+#include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdexcept>
 #include <sys/socket.h>
+#include <utility>
 
 namespace baobabport::support {
 
 namespace {
 
+constexpr int listen_backlog = 1024;
 constexpr int keepalive_idle_s = 2;
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
@@ -20,6 +25,39 @@
 
 } // namespace
 
+sockaddr_in to_sockaddr(const address &at)
+{
+    sockaddr_in out{};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(at.port);
+    inet_pton(AF_INET, at.ip.c_str(), &out.sin_addr);
+    return out;
+}
+
+address from_sockaddr(const sockaddr_in &at)
+{
+    std::string ip(INET_ADDRSTRLEN, '\0');
+    inet_ntop(AF_INET, &at.sin_addr, ip.data(), static_cast<socklen_t>(ip.size()));
+    return {ip.c_str(), ntohs(at.sin_port)};
+}
+
+listener::listener(event_base *base, const address &at, accept_hook accepted) : accepted_(std::move(accepted))
+{
+    const auto to = to_sockaddr(at);
+    const auto on_accept = [](evconnlistener * /*listener*/, evutil_socket_t socket, sockaddr * /*from*/,
+                              int /*length*/,
+                              void *self) { static_cast<listener *>(self)->accepted_(socket); };
+    listener_ = evconnlistener_new_bind(base, on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                        listen_backlog, reinterpret_cast<const sockaddr *>(&to), sizeof(to));
+    if (!listener_)
+        throw std::runtime_error("cannot listen on " + at.text());
+}
+
+listener::~listener()
+{
+    evconnlistener_free(listener_);
+}
+
 void tune_socket(int socket)
 {
     set(socket, IPPROTO_TCP, TCP_NODELAY, 1);
--- a/tests/proxy/test_peer_task.cpp
+++ b/tests/proxy/test_peer_task.cpp
@@ -88,8 +88,8 @@
         bool reset = false;
         CHECK(run_until(base, [&] {
             std::array<char, 4096> bytes{}; // of the greeting
-            reset = reset || (::recv(accepted, bytes.data(), bytes.size(), MSG_DONTWAIT) < 0 &&
-                              errno == ECONNRESET);
+            reset = reset ||
+                    (::recv(accepted, bytes.data(), bytes.size(), MSG_DONTWAIT) < 0 && errno == ECONNRESET);
             return reset;
         }));
         ::close(accepted);
--- a/tests/proxy/test_proxy.cpp
+++ b/tests/proxy/test_proxy.cpp
@@ -164,6 +164,21 @@
     CHECK(caller->lines[2] == "ROW 1");
 }
 
+TEST_CASE("a caller that sends far ahead gets every answer, in order")
+{
+    proxy_site site;
+    const auto caller = site.session("main");
+    caller->lines.clear();
+    constexpr int statements = 400;
+    const std::string data(1000, 'x'); // more in all than may wait in the proxy
+    for (int n = 0; n < statements; ++n)
+        caller->send("QUERY " + std::to_string(n) + " WRITE x " + data + std::to_string(n) + "\r\n");
+    CHECK(site.run_until([&] { return caller->lines.size() == 2 * statements; }));
+    CHECK(std::count_if(caller->lines.begin(), caller->lines.end(),
+                        [](const auto &it) { return it.starts_with("COMPLETE mac"); }) == statements);
+    CHECK(site.ask(*caller, "READ x").starts_with("ROW " + data + std::to_string(statements - 1) + "|"));
+}
+
 TEST_CASE("a line that is too long ends its session only")
 {
     proxy_site site;
