--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -12,7 +12,6 @@
 using directory::route_kind;
 using session::answer_code;
 using session::statement_kind;
-using session::transaction_state;
 
 namespace {
 
--- a/standins/line_group.cpp
+++ b/standins/line_group.cpp
@@ -27,7 +27,10 @@
     std::map<std::string, std::string> prepared; ///< name to `READ` or `WRITE`
     std::map<std::string, std::string> written;  ///< in the open transaction
 
+    connection() = default;
     ~connection() { bufferevent_free(socket); }
+    connection(const connection &) = delete;
+    connection &operator=(const connection &) = delete;
 };
 
 namespace {
