The duty's holder tells the others what the store says

Ruled out: longer intervals, which delay a change or a leaving instance. Change: lease answers carry the newest version, a digest of the instances and their age; a process asks the store only when it differs or the word is older than a call of its own would be. The holder asks the store itself.

--- a/src/directory/instance_directory.cpp
+++ b/src/directory/instance_directory.cpp
@@ -1,6 +1,8 @@
 #include "directory/instance_directory.h"
 
+#include <algorithm>
 #include <set>
+#include <xxhash.h>
 
 namespace baobabport::directory {
 
@@ -54,6 +56,22 @@
     return out;
 }
 
+void instance_directory::confirm(time_point listed_at)
+{
+    last_listing_ = std::max(last_listing_, listed_at);
+}
+
+std::uint64_t instance_directory::digest() const
+{
+    std::string text;
+    for (const auto &[id, it] : records_) {
+        text += id + ' ' + it.service + ' ' + it.data_centre + ' ' + it.at.text() + ' ' +
+                std::to_string(static_cast<int>(it.state)) + ' ' + std::to_string(it.slots) + ' ' +
+                std::to_string(it.started_at.count()) + '\n';
+    }
+    return XXH3_64bits(text.data(), text.size());
+}
+
 const instance_record *instance_directory::find(const std::string &id) const
 {
     const auto it = records_.find(id);
--- a/src/directory/instance_directory.h
+++ b/src/directory/instance_directory.h
@@ -51,6 +51,15 @@
     /// Takes in a complete listing.
     directory_change take(std::vector<instance_record> records, time_point now);
 
+    /// Takes in that another process had the same instances listed at that time.
+    void confirm(time_point listed_at);
+
+    /// Returns when the store last listed the instances, to this process or another.
+    [[nodiscard]] time_point confirmed_at() const { return last_listing_; }
+
+    /// Returns a number that differs when anything differs that matters to the use of the instances.
+    [[nodiscard]] std::uint64_t digest() const;
+
     [[nodiscard]] const instance_record *find(const std::string &id) const;
 
     /// Returns the instances of the service, by id.
--- a/src/inner/lease_messages.cpp
+++ b/src/inner/lease_messages.cpp
@@ -57,8 +57,9 @@
     json members = json::array();
     for (const auto &it : message.members)
         members.push_back(json::array({it.vm, it.data_centre, it.address}));
-    return to_bytes(
-        {answer_kind, message.generation, message.number, leases, message.members_version, members});
+    return to_bytes({answer_kind, message.generation, message.number, leases, message.members_version,
+                     members, message.desired_state_version, message.desired_state_age.count(),
+                     message.instances_digest, message.instances_age.count()});
 }
 
 std::optional<lease_request> decode_lease_request(std::string_view bytes)
@@ -88,6 +89,10 @@
         out.generation = fields.at(1).get<std::uint64_t>();
         out.number = fields.at(2).get<std::uint64_t>();
         out.members_version = fields.at(4).get<std::uint64_t>();
+        out.desired_state_version = fields.at(6).get<std::uint64_t>();
+        out.desired_state_age = std::chrono::milliseconds(fields.at(7).get<std::int64_t>());
+        out.instances_digest = fields.at(8).get<std::uint64_t>();
+        out.instances_age = std::chrono::milliseconds(fields.at(9).get<std::int64_t>());
         for (const auto &it : fields.at(5))
             out.members.push_back(
                 {it.at(0).get<std::string>(), it.at(1).get<std::string>(), it.at(2).get<std::string>()});
--- a/src/inner/lease_messages.h
+++ b/src/inner/lease_messages.h
@@ -53,6 +53,11 @@
     std::uint64_t generation = 0;
     std::uint64_t number = 0;
     std::vector<primary_lease> leases; ///< groups that are not named have none
+    /// What the holder knows of the store, so that the others need not ask it themselves.
+    std::uint64_t desired_state_version = 0;
+    std::chrono::milliseconds desired_state_age{0}; ///< since the store said that it is the newest
+    std::uint64_t instances_digest = 0;
+    std::chrono::milliseconds instances_age{0}; ///< since the store listed them
     std::uint64_t members_version = 0;
     std::vector<member> members; ///< left out if the asker has this version
 };
--- a/src/pooler/pooler_task.cpp
+++ b/src/pooler/pooler_task.cpp
@@ -98,10 +98,9 @@
         return;
     case message_kind::hello:
     case message_kind::prove:
-        return; // taken by the connection itself
     case message_kind::work:
     case message_kind::end_work:
-        return; // between proxies only; the asker's time-out tells it
+        return; // taken by the connection itself, or sent between proxies only
     }
 }
 
--- a/src/proxy/peer_task.h
+++ b/src/proxy/peer_task.h
@@ -49,6 +49,7 @@
     static constexpr std::size_t ranks = 3;
 
     peer_task(event_base *base, peer_identity self, instance_access &access);
+    ~peer_task() = default;
     peer_task(const peer_task &) = delete;
     peer_task &operator=(const peer_task &) = delete;
 
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -191,6 +191,9 @@
 
 void proxy_task::tick_peers(time_point now)
 {
+    const bool holds = duty_ && duty_->held(now);
+    desired_state_.set_independent(holds);
+    instance_list_.set_independent(holds);
     access_.tick(now, routes_.state().transaction_idle * 2);
     if (!duty_)
         return;
@@ -248,6 +251,11 @@
     inner::lease_answer out;
     out.generation = *held;
     out.number = request.number;
+    const auto age = [now](time_point at) { return std::chrono::ceil<milliseconds>(now - at); };
+    out.desired_state_version = routes_.version();
+    out.desired_state_age = age(desired_state_.confirmed_at());
+    out.instances_digest = instances_.digest();
+    out.instances_age = age(instances_.confirmed_at());
     const auto &members = census_.list(now, out.members_version);
     if (out.members_version != request.members_known)
         out.members = members;
@@ -266,6 +274,14 @@
 
 void proxy_task::take_leases(const inner::lease_answer &answer, time_point asked_at)
 {
+    desired_state_.take_word(answer.desired_state_version, routes_.version(),
+                             asked_at - answer.desired_state_age);
+    const auto listed_at = asked_at - answer.instances_age;
+    const bool same = answer.instances_digest == instances_.digest();
+    if (same || listed_at > instances_.confirmed_at())
+        instance_list_.take_word(same, listed_at);
+    if (same)
+        instances_.confirm(listed_at);
     if (!answer.members.empty())
         take_members(answer.members, answer.members_version);
     for (const auto &it : answer.leases) {
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -40,6 +40,7 @@
     static constexpr std::chrono::milliseconds shutdown_reserve{700};
 
     proxy_task(event_base *base, proxy_settings settings, std::function<void()> stopped);
+    ~proxy_task() = default;
     proxy_task(const proxy_task &) = delete;
     proxy_task &operator=(const proxy_task &) = delete;
 
--- a/src/proxy/store_tasks.cpp
+++ b/src/proxy/store_tasks.cpp
@@ -21,14 +21,34 @@
 }
 
 desired_state_task::desired_state_task(event_base *base, platform::metadata_client &store, state_hook changed)
-    : store_(store), changed_(std::move(changed)), timer_(base, [this] { from_start_ ? read() : watch(); })
+    : store_(store), changed_(std::move(changed)), timer_(base, [this] { from_start_ ? read() : follow(); })
 {
 }
 
+void desired_state_task::follow()
+{
+    const bool relied_on = !independent_ && support::boot_clock::now() - confirmed_at_ < word_time;
+    if (relied_on)
+        again(false, word_check);
+    else
+        watch();
+}
+
+void desired_state_task::take_word(std::uint64_t newest, std::uint64_t applied,
+                                   std::chrono::steady_clock::time_point confirmed_at)
+{
+    if (newest == applied)
+        confirmed_at_ = std::max(confirmed_at_, confirmed_at);
+    else if (newest > applied && !waiting_)
+        again(true, std::chrono::milliseconds(0));
+}
+
 void desired_state_task::read()
 {
+    waiting_ = true;
     const auto sent = support::boot_clock::now();
     store_.read(platform::desired_state_key, store_timeout, [this, sent](const auto &reply) {
+        waiting_ = false;
         if (reply.outcome != call_outcome::done || reply.items.empty()) {
             if (reply.outcome != call_outcome::missing)
                 note_failure(reply);
@@ -38,37 +58,40 @@
         confirmed_at_ = sent;
         revision_ = reply.revision;
         take(reply.items.front());
-        watch();
+        follow();
     });
 }
 
 void desired_state_task::watch()
 {
+    waiting_ = true;
     const auto sent = support::boot_clock::now();
-    store_.watch(platform::desired_state_prefix, revision_, watch_time, [this, sent](const auto &reply) {
-        if (reply.outcome == call_outcome::history_gone) {
-            log_event("desired_state_history_gone", {{"revision", std::to_string(revision_)}});
-            again(true, std::chrono::milliseconds(0));
-            return;
-        }
-        if (reply.outcome != call_outcome::done) {
-            note_failure(reply);
-            // A read tells at once what a watch on a bad connection would have missed.
-            again(true, backoff_.after_failure());
-            return;
-        }
-        if (!reachable_)
-            log_event("store_regained", {{"use", "desired state"}});
-        reachable_ = true;
-        confirmed_at_ = sent;
-        backoff_.succeeded();
-        revision_ = std::max(revision_, reply.revision);
-        for (const auto &it : reply.items) {
-            if (it.key == platform::desired_state_key && !it.removed)
-                take(it);
-        }
-        watch();
-    });
+    store_.watch(platform::desired_state_prefix, revision_, independent_ ? holder_watch_time : watch_time,
+                 [this, sent](const auto &reply) {
+                     waiting_ = false;
+                     if (reply.outcome == call_outcome::history_gone) {
+                         log_event("desired_state_history_gone", {{"revision", std::to_string(revision_)}});
+                         again(true, std::chrono::milliseconds(0));
+                         return;
+                     }
+                     if (reply.outcome != call_outcome::done) {
+                         note_failure(reply);
+                         // A read tells at once what a watch on a bad connection would have missed.
+                         again(true, backoff_.after_failure());
+                         return;
+                     }
+                     if (!reachable_)
+                         log_event("store_regained", {{"use", "desired state"}});
+                     reachable_ = true;
+                     confirmed_at_ = sent;
+                     backoff_.succeeded();
+                     revision_ = std::max(revision_, reply.revision);
+                     for (const auto &it : reply.items) {
+                         if (it.key == platform::desired_state_key && !it.removed)
+                             take(it);
+                     }
+                     follow();
+                 });
 }
 
 void desired_state_task::take(const platform::stored_item &item)
@@ -96,12 +119,32 @@
 }
 
 instance_list_task::instance_list_task(event_base *base, platform::metadata_client &store, list_hook listed)
-    : store_(store), listed_(std::move(listed)), timer_(base, [this] { list_from({}); })
+    : store_(store), listed_(std::move(listed)), timer_(base, [this] { next(); })
+{
+}
+
+void instance_list_task::next()
+{
+    const bool relied_on = !independent_ && support::boot_clock::now() - word_at_ < word_time;
+    if (relied_on)
+        timer_.start(word_check);
+    else
+        list_from({});
+}
+
+void instance_list_task::take_word(bool same, std::chrono::steady_clock::time_point listed_at)
 {
+    if (same)
+        word_at_ = std::max(word_at_, listed_at);
+    else if (!listing_ && listed_at > word_at_) {
+        word_at_ = {};
+        timer_.start(std::chrono::milliseconds(0));
+    }
 }
 
 void instance_list_task::list_from(const std::string &after)
 {
+    listing_ = true;
     if (after.empty())
         records_.clear();
     store_.list(platform::instances_prefix, after, store_timeout,
@@ -110,6 +153,7 @@
 
 void instance_list_task::take(const platform::store_reply &reply)
 {
+    listing_ = false;
     if (reply.outcome != call_outcome::done) {
         timer_.start(backoff_.after_failure());
         return;
--- a/src/proxy/store_tasks.h
+++ b/src/proxy/store_tasks.h
@@ -48,17 +48,32 @@
 
     /// One watch waits this long: a silent connection is noticed before the bound for a change is over.
     static constexpr std::chrono::milliseconds watch_time{1500};
+    /// As above for the duty's holder: others rely on its word while it is young.
+    static constexpr std::chrono::milliseconds holder_watch_time{700};
 
     desired_state_task(event_base *base, platform::metadata_client &store, state_hook changed);
 
     void start() { read(); }
 
-    /// Returns when the store last said which state is the newest.
+    /// Returns when the store last said which state is the newest, to this process or another.
     [[nodiscard]] std::chrono::steady_clock::time_point confirmed_at() const { return confirmed_at_; }
 
+    /// Takes in what another process knows: the newest version at that time. `applied`: the one in force
+    /// here.
+    void take_word(std::uint64_t newest, std::uint64_t applied,
+                   std::chrono::steady_clock::time_point confirmed_at);
+
+    /// The duty's holder asks the store whatever others say, since they rely on it.
+    void set_independent(bool independent) { independent_ = independent; }
+
+    /// What another process knows is relied on while it is younger than this: as a watch of its own.
+    static constexpr std::chrono::milliseconds word_time{1500};
+    static constexpr std::chrono::milliseconds word_check{250};
+
 private:
     void read();
     void watch();
+    void follow();
     void take(const platform::stored_item &item);
     void again(bool from_start, std::chrono::milliseconds delay);
     void note_failure(const platform::store_reply &reply);
@@ -69,6 +84,8 @@
     store_backoff backoff_;
     std::uint64_t revision_ = 0;
     bool from_start_ = true;
+    bool independent_ = false;
+    bool waiting_ = false; ///< a call is under way
     bool reachable_ = true;
     std::chrono::steady_clock::time_point confirmed_at_;
 };
@@ -90,7 +107,16 @@
 
     void start() { list_from({}); }
 
+    /// Takes in what another process knows. `same`: it has the instances that this one has.
+    void take_word(bool same, std::chrono::steady_clock::time_point listed_at);
+    void set_independent(bool independent) { independent_ = independent; }
+
+    /// What another process listed is relied on while it is younger than this.
+    static constexpr std::chrono::milliseconds word_time{2500};
+    static constexpr std::chrono::milliseconds word_check{300};
+
 private:
+    void next();
     void list_from(const std::string &after);
     void take(const platform::store_reply &reply);
 
@@ -100,6 +126,9 @@
     store_backoff backoff_;
     std::vector<directory::instance_record> records_; ///< of the listing in progress
     std::string last_bad_entry_;                      ///< reported once
+    std::chrono::steady_clock::time_point word_at_;   ///< of another process with the same instances
+    bool independent_ = false;
+    bool listing_ = false;
 };
 
 } // namespace baobabport::proxy
--- a/tests/directory/test_directory.cpp
+++ b/tests/directory/test_directory.cpp
@@ -98,6 +98,24 @@
     CHECK(instance_directory::takes_work(*instances.find("a"), end));
 }
 
+TEST_CASE("another process's word keeps a listing from counting as an outage")
+{
+    instance_directory instances;
+    instance_directory other;
+    instances.take({make("a"), make("b")}, start);
+    other.take({make("b"), make("a")}, start);
+    CHECK(instances.digest() == other.digest());
+    const auto later = start + instance_directory::outage_after * 3;
+    instances.confirm(later - milliseconds(500));
+    CHECK(instances.take({make("a")}, later).left == std::vector<std::string>{"b"});
+    CHECK(instances.digest() != other.digest());
+    auto leaving = make("a");
+    leaving.state = instance_state::draining;
+    const auto before = instances.digest();
+    instances.take({leaving}, later);
+    CHECK(instances.digest() != before);
+}
+
 TEST_CASE("a restarted instance that leaves is reported as leaving again")
 {
     instance_directory instances;
