A stopping process gives up being a home

Ruled out: a message of its own for it; the requests for leases tell already who may be a home. Change: a stopping process leaves its name out of these requests and ends only when no work runs on it, within its time.

--- a/src/proxy/instance_access.cpp
+++ b/src/proxy/instance_access.cpp
@@ -321,6 +321,13 @@
     }
 }
 
+bool instance_access::busy() const
+{
+    return !state_->transactions.empty() ||
+           std::any_of(state_->schedulers.begin(), state_->schedulers.end(),
+                       [](const auto &it) { return it.second.running() + it.second.waiting() > 0; });
+}
+
 void instance_access::end_transaction(std::uint64_t transaction)
 {
     const auto it = state_->transactions.find(transaction);
--- a/src/proxy/instance_access.h
+++ b/src/proxy/instance_access.h
@@ -42,6 +42,9 @@
     /// Rolls back transactions that nobody has used for `limit`, and refuses what has waited too long.
     void tick(time_point now, std::chrono::milliseconds limit);
 
+    /// Returns true while a statement runs or waits here, or a transaction is open.
+    [[nodiscard]] bool busy() const;
+
     [[nodiscard]] std::size_t open_transactions() const { return state_->transactions.size(); }
 
 private:
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -230,7 +230,9 @@
 {
     request.store_silent_for = store_silence(clock_type::now());
     request.members_known = members_version_;
-    request.vm = settings_.process;
+    // Without its name a process gets leases and no work: the others choose another home.
+    if (!draining_since_)
+        request.vm = settings_.process;
     request.data_centre = settings_.data_centre;
 }
 
@@ -315,13 +317,21 @@
             it->end_transaction("the process stops");
         it->close_when_idle();
     }
-    if (!callers_.empty() && since < settings_.shutdown_time - shutdown_reserve)
+    const bool busy = !callers_.empty() || access_.busy();
+    if (busy && since < settings_.shutdown_time - shutdown_reserve)
         return;
     log_event("stopped", {{"sessions", std::to_string(callers_.size())}});
     timer_.stop();
     stopped_();
 }
 
+bool proxy_task::leaving() const
+{
+    inner::lease_request request;
+    describe(request);
+    return request.vm.empty();
+}
+
 void proxy_task::reload(const proxy_settings &settings)
 {
     settings_.shutdown_time = settings.shutdown_time;
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -47,6 +47,9 @@
     /// Stops as planned: no new sessions, then the end of those that are open.
     void drain();
 
+    /// Returns true while this process asks the others for no work.
+    [[nodiscard]] bool leaving() const;
+
     /// Takes in settings that changed while the process runs.
     void reload(const proxy_settings &settings);
 
--- a/tests/proxy/test_proxy.cpp
+++ b/tests/proxy/test_proxy.cpp
@@ -344,3 +344,18 @@
     CHECK(site.run_until([&idle] { return idle->closed; }));
     CHECK_FALSE(site.store->has("baobabport/failover/holder")); // the duty is given back
 }
+
+TEST_CASE("a stopping home is left by the others and finishes their work")
+{
+    baobabport::proxy::instance_access idle([](const auto &, const auto &) { return nullptr; });
+    CHECK_FALSE(idle.busy());
+
+    proxy_site site;
+    const auto caller = site.session("main");
+    site.ask(*caller, "BEGIN");
+    CHECK(is_success(site.ask(*caller, "WRITE x 1"))); // pins a connection here, as work of another would
+    site.proxy->drain();
+    CHECK(site.proxy->leaving());
+    CHECK(is_success(site.ask(*caller, "COMMIT")));
+    CHECK(site.run_until([&site] { return site.stopped; }));
+}
