--- a/tests/platform/test_record_codec.cpp
+++ b/tests/platform/test_record_codec.cpp
@@ -45,7 +45,7 @@
 std::optional<directory::instance_record> read(const json &body)
 {
     std::string reason;
-    const auto out = platform::read_instance_record("servers/i-1", body.dump(), reason);
+    auto out = platform::read_instance_record("servers/i-1", body.dump(), reason);
     CHECK(out.has_value() == reason.empty());
     return out;
 }
--- a/tests/proxy/test_proxy.cpp
+++ b/tests/proxy/test_proxy.cpp
@@ -169,9 +169,9 @@
     proxy_site site;
     const auto caller = site.session("main");
     caller->lines.clear();
-    constexpr int statements = 400;
+    constexpr std::size_t statements = 400;
     const std::string data(1000, 'x'); // more in all than may wait in the proxy
-    for (int n = 0; n < statements; ++n)
+    for (std::size_t n = 0; n < statements; ++n)
         caller->send("QUERY " + std::to_string(n) + " WRITE x " + data + std::to_string(n) + "\r\n");
     CHECK(site.run_until([&] { return caller->lines.size() == 2 * statements; }));
     CHECK(std::count_if(caller->lines.begin(), caller->lines.end(),
--- a/tests/support/proxy_site.cpp
+++ b/tests/support/proxy_site.cpp
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -25,7 +26,8 @@
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(socket, reinterpret_cast<sockaddr *>(&at), sizeof(at));
+    if (::bind(socket, reinterpret_cast<sockaddr *>(&at), sizeof(at)) != 0)
+        throw std::runtime_error("no port is free");
     socklen_t length = sizeof(at);
     ::getsockname(socket, reinterpret_cast<sockaddr *>(&at), &length);
     ::close(socket);
