Test processes no longer take each other's ports

The fixture asked the system for a free port and closed it; another test process took it before the proxy bound it. Ruled out: the proxy; the message is the bind's own, before anything was served. Change: each test process has a loopback address of its own and counts its ports below the system's range.

--- a/tests/proxy/test_peer_task.cpp
+++ b/tests/proxy/test_peer_task.cpp
@@ -1,6 +1,7 @@
 // Work at other processes: what a cut link must not do later, and who is a home.
 
 #include "proxy/peer_task.h"
+#include "support/free_address.h"
 
 #include <arpa/inet.h>
 #include <array>
@@ -13,6 +14,7 @@
 
 using namespace baobabport;
 using std::chrono::milliseconds;
+using testing::free_address;
 
 namespace {
 
@@ -40,12 +42,6 @@
     support::address at;
 };
 
-support::address free_address()
-{
-    const silent_peer it;
-    return it.at;
-}
-
 template <typename Condition>
 bool run_until(event_base *base, Condition condition)
 {
--- a/tests/support/proxy_site.cpp
+++ b/tests/support/proxy_site.cpp
@@ -1,14 +1,13 @@
 #include "support/proxy_site.h"
 
+#include "support/free_address.h"
+
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace testing {
 
@@ -20,20 +19,6 @@
 /// Beyond this, a condition will not come true: several times the longest time-out in play.
 constexpr std::chrono::seconds patience{20};
 
-support::address free_address()
-{
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (::bind(socket, reinterpret_cast<sockaddr *>(&at), sizeof(at)) != 0)
-        throw std::runtime_error("no port is free");
-    socklen_t length = sizeof(at);
-    ::getsockname(socket, reinterpret_cast<sockaddr *>(&at), &length);
-    ::close(socket);
-    return {"127.0.0.1", ntohs(at.sin_port)};
-}
-
 json route(const std::string &database, const std::string &type)
 {
     json out{{"name", "r-" + database},   {"database", database}, {"type", type},   {"timeout_ms", 1000},
