The store is left alone while the duty's holder is heard

Cause: a process that had been told by the holder that its desired state is the newest overwrote that with the older time of its own watch, and watched again at once; every process watched the duty's keys every 4 s beside the holder's answers; before the first desired state each polled on its own; all processes of a start opened a lease and tried to take the duty. Ruled out: a longer watch (a silent connection would hide a change past its bound). Change: the newest confirmation counts; "no desired state yet" is an answer that the holder can pass on; non-holders look at the duty's keys only after 450 ms without an answer of the holder; a free duty is taken after a part of 60 ms, with a watch meanwhile. Settings: the file is compared every 0.5 s, so that changes without a signal are noticed; a moved store or promotion address is followed; bounds for leaving instances, desired states and the shortest lease come from the site. Two settings that nothing read are gone or used.

--- a/src/directory/instance_directory.cpp
+++ b/src/directory/instance_directory.cpp
@@ -8,7 +8,7 @@
 
 bool instance_directory::takes_work(const instance_record &record, time_point now)
 {
-    return !record.leaving_since || now - *record.leaving_since < leaving_use;
+    return !record.work_until || now < *record.work_until;
 }
 
 directory_change instance_directory::take(std::vector<instance_record> records, time_point now)
@@ -25,7 +25,7 @@
         if (known == records_.end()) {
             out.joined.push_back(it.id);
             if (it.state == instance_state::draining) {
-                it.leaving_since = now;
+                it.work_until = now + leaving_use_;
                 out.draining.push_back(it.id);
             }
             records_.emplace(it.id, std::move(it));
@@ -36,7 +36,7 @@
             out.restarted.push_back(it.id);
         const bool was_draining = known->second.state == instance_state::draining && !other_process;
         if (it.state == instance_state::draining)
-            it.leaving_since = was_draining ? known->second.leaving_since : now;
+            it.work_until = was_draining ? known->second.work_until : now + leaving_use_;
         if (it.state == instance_state::draining && !was_draining)
             out.draining.push_back(it.id);
         known->second = std::move(it);
--- a/src/directory/instance_directory.h
+++ b/src/directory/instance_directory.h
@@ -42,8 +42,15 @@
     /// Listings further apart than this count as an outage of the store.
     static constexpr std::chrono::milliseconds outage_after{4000};
 
-    /// A leaving instance gets new work this long at most; half of the shortest time that it still serves.
-    static constexpr std::chrono::milliseconds leaving_use{3500};
+    /// A leaving instance gets new work for half of the time that it serves at least. The default is of the
+    /// known sites.
+    explicit instance_directory(std::chrono::milliseconds drain_bound = std::chrono::milliseconds(7000))
+        : leaving_use_(drain_bound / 2)
+    {
+    }
+
+    /// Takes effect with the next instance that begins to leave.
+    void set_drain_bound(std::chrono::milliseconds bound) { leaving_use_ = bound / 2; }
 
     /// Returns true if the instance may get new statements.
     [[nodiscard]] static bool takes_work(const instance_record &record, time_point now);
@@ -69,6 +76,7 @@
     [[nodiscard]] bool listed() const { return last_listing_ != time_point{}; }
 
 private:
+    std::chrono::milliseconds leaving_use_;
     std::map<std::string, instance_record> records_;
     time_point last_listing_;
     time_point returned_at_; ///< since when the store has answered without an outage
--- a/src/platform/duty_client.h
+++ b/src/platform/duty_client.h
@@ -37,6 +37,9 @@
 
     duty_client(event_base *base, support::address at);
 
+    /// Sends later orders to another address.
+    void move_to(const support::address &at) { at_ = at; }
+
     void promote(const promotion_order &order, std::chrono::milliseconds timeout, outcome_hook done);
 
 private:
--- a/src/platform/metadata_client.cpp
+++ b/src/platform/metadata_client.cpp
@@ -114,18 +114,26 @@
             idle_.pop_back();
         }
         auto *const raw = client.get();
-        raw->send(request,
-                  [self = weak_from_this(), client, sent_at, done = std::move(done)](const auto &answer) {
-                      const auto me = self.lock();
-                      if (!me)
-                          return;
-                      if (answer.failure == http::client_failure::none && me->idle_.size() < max_idle)
-                          me->idle_.push_back(client);
-                      const auto reply = read_reply(answer);
-                      if (reply.outcome != call_outcome::no_answer && reply.outcome != call_outcome::refused)
-                          me->served_at_ = std::max(me->served_at_, sent_at);
-                      done(reply);
-                  });
+        raw->send(request, [self = weak_from_this(), client, sent_at, moves = moves_,
+                            done = std::move(done)](const auto &answer) {
+            const auto me = self.lock();
+            if (!me)
+                return;
+            if (answer.failure == http::client_failure::none && me->idle_.size() < max_idle &&
+                moves == me->moves_)
+                me->idle_.push_back(client);
+            const auto reply = read_reply(answer);
+            if (reply.outcome != call_outcome::no_answer && reply.outcome != call_outcome::refused)
+                me->served_at_ = std::max(me->served_at_, sent_at);
+            done(reply);
+        });
+    }
+
+    void move_to(const support::address &at)
+    {
+        at_ = at;
+        idle_.clear();
+        ++moves_;
     }
 
     [[nodiscard]] std::uint64_t calls() const { return calls_; }
@@ -136,6 +144,7 @@
     support::address at_;
     std::vector<std::shared_ptr<http::http_client>> idle_;
     std::uint64_t calls_ = 0;
+    std::uint64_t moves_ = 0; ///< a connection from before the last one is not used again
     std::chrono::steady_clock::time_point served_at_;
 };
 
@@ -205,6 +214,11 @@
     return impl_->served_at();
 }
 
+void metadata_client::move_to(const support::address &at)
+{
+    impl_->move_to(at);
+}
+
 std::uint64_t metadata_client::calls() const
 {
     return impl_->calls();
--- a/src/platform/metadata_client.h
+++ b/src/platform/metadata_client.h
@@ -96,6 +96,9 @@
     void renew_lease(std::uint64_t lease, std::chrono::milliseconds timeout, reply_hook done);
     void end_lease(std::uint64_t lease, std::chrono::milliseconds timeout, reply_hook done);
 
+    /// Sends later calls to another address of the store.
+    void move_to(const support::address &at);
+
     [[nodiscard]] std::uint64_t calls() const;
 
     /// Returns when the last call that the store served was sent.
--- a/src/programs/proxy_main.cpp
+++ b/src/programs/proxy_main.cpp
@@ -3,6 +3,7 @@
 #include "programs/program_main.h"
 #include "proxy/proxy_task.h"
 #include "proxy/settings_file.h"
+#include "proxy/settings_watch.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -22,7 +23,7 @@
   --version        Show the version.
   -h --help        Show this text.
 
-Signals: SIGTERM stops as planned, SIGHUP reads the settings again.
+Signals: SIGTERM stops as planned. Changed settings are noticed within half a second, or at SIGHUP.
 
 Exit status: 0 stopped as planned, 1 could not start, 2 bad usage or settings.
 )";
@@ -56,15 +57,9 @@
     auto *const base = event_base_new();
     try {
         proxy::proxy_task task(base, std::move(*settings), [base] { event_base_loopbreak(base); });
-        const auto reload = [&task, &path] {
-            std::string why;
-            if (const auto fresh = proxy::load_proxy_settings(path, why))
-                task.reload(*fresh);
-            else
-                support::log_warning("settings_refused", {{"reason", why}});
-        };
+        proxy::settings_watch watch(base, path, [&task](const auto &fresh) { task.reload(fresh); });
         programs::run_until_stopped(
-            base, [&task] { task.drain(); }, reload);
+            base, [&task] { task.drain(); }, [&watch] { watch.look(); });
     } catch (const std::runtime_error &ec) {
         support::log_warning("cannot_start", {{"reason", ec.what()}});
         return programs::exit_cannot_start;
--- a/src/proxy/duty_task.cpp
+++ b/src/proxy/duty_task.cpp
@@ -28,10 +28,11 @@
 
 } // namespace
 
-duty_task::duty_task(event_base *base, platform::metadata_client &store, std::string vm,
-                     std::string data_centre, support::address peer)
-    : store_(store), vm_(std::move(vm)), data_centre_(std::move(data_centre)), peer_(std::move(peer)),
-      timer_(base, [this] { look(); }), renew_timer_(base, [this] { renew(); })
+duty_task::duty_task(event_base *base, platform::metadata_client &store, const proxy_settings &settings)
+    : store_(store), vm_(settings.process), data_centre_(settings.data_centre), peer_(settings.peers),
+      store_lease_time_(std::max(lease_time, settings.shortest_store_lease)),
+      timer_(base, [this] { look(); }), renew_timer_(base, [this] { renew(); }),
+      take_timer_(base, [this] { open_lease(); })
 {
 }
 
@@ -57,10 +58,19 @@
     return lease_holder{holder_, holder_data_centre_, holder_peer_, generation_};
 }
 
+void duty_task::tick(time_point now)
+{
+    if (!listening_ || hears_holder(now))
+        return;
+    listening_ = false;
+    look();
+}
+
 void duty_task::look()
 {
     if (resigned_)
         return;
+    ++watch_number_;
     store_.list(prefix, {}, store_timeout, [this](const auto &reply) {
         if (reply.outcome != call_outcome::done) {
             again(backoff_.after_failure());
@@ -68,22 +78,35 @@
         }
         backoff_.succeeded();
         revision_ = reply.revision;
+        holder_revision_ = 0;
+        generation_revision_ = 0; // the number itself is kept: it never falls
+        holder_.clear();
         read_keys(reply);
-        if (holder_revision_ == 0) {
-            open_lease();
-        } else if (lease_ != 0 && holder_lease_ == lease_ && holder_ == vm_) {
-            taken(); // the answer to taking it was lost
-        } else {
-            watch();
-        }
+        decide();
     });
 }
 
+void duty_task::decide()
+{
+    if (holder_revision_ == 0) {
+        take_soon();
+    } else if (lease_ != 0 && holder_lease_ == lease_ && holder_ == vm_) {
+        taken(); // the answer to taking it was lost
+    } else if (hears_holder(support::boot_clock::now())) {
+        listening_ = true;
+    } else {
+        watch();
+    }
+}
+
 void duty_task::read_keys(const platform::store_reply &reply)
 {
-    holder_revision_ = 0;
-    holder_.clear();
     for (const auto &it : reply.items) {
+        if (it.removed) {
+            if (it.key == holder_key)
+                holder_revision_ = 0;
+            continue;
+        }
         const auto fields = nlohmann::json::parse(it.value, nullptr, false);
         if (!fields.is_object()) {
             support::log_warning("failover_duty_unreadable", {{"key", it.key}});
@@ -97,7 +120,7 @@
             holder_lease_ = it.lease;
         } else if (it.key == generation_key) {
             generation_revision_ = it.revision;
-            generation_ = fields.value("generation", std::uint64_t{0});
+            generation_ = std::max(generation_, fields.value("generation", std::uint64_t{0}));
             released_ = fields.value("released", false);
             peer_key_ = fields.value("peer_key", "");
         }
@@ -106,32 +129,45 @@
 
 void duty_task::watch()
 {
-    store_.watch(prefix, revision_, watch_time, [this](const auto &reply) {
-        if (reply.outcome != call_outcome::done && reply.outcome != call_outcome::history_gone) {
-            again(backoff_.after_failure());
+    const auto number = ++watch_number_;
+    store_.watch(prefix, revision_, watch_time, [this, number](const auto &reply) {
+        if (number != watch_number_)
             return;
-        }
-        if (reply.outcome == call_outcome::done && reply.items.empty()) {
+        if (reply.outcome == call_outcome::history_gone) {
+            look();
+        } else if (reply.outcome != call_outcome::done) {
+            again(backoff_.after_failure());
+        } else {
             revision_ = std::max(revision_, reply.revision);
-            watch();
-            return;
+            read_keys(reply);
+            take_timer_.stop(); // another process may have taken the duty
+            decide();
         }
-        look();
     });
 }
 
+void duty_task::take_soon()
+{
+    // Meanwhile a watch tells whether another process was first.
+    const auto part = std::hash<std::string>{}(vm_ + std::to_string(generation_));
+    take_timer_.start(std::chrono::milliseconds(part % take_spread.count()));
+    watch();
+}
+
 void duty_task::open_lease()
 {
+    ++watch_number_;
     lease_ = 0;
     const auto asked_at = support::boot_clock::now();
-    store_.open_lease(lease_time, store_timeout, [this, asked_at](const auto &reply) {
+    store_.open_lease(store_lease_time_, store_timeout, [this, asked_at](const auto &reply) {
         if (reply.outcome != call_outcome::done) {
             again(backoff_.after_failure());
             return;
         }
         lease_ = reply.lease;
         lease_asked_at_ = asked_at;
-        take_key();
+        if (!resigned_)
+            take_key();
     });
 }
 
@@ -151,6 +187,12 @@
                                                           : backoff_.after_failure());
             return;
         }
+        if (resigned_) {
+            holder_revision_ = reply.revision;
+            ++generation_;
+            give_back();
+            return;
+        }
         const bool settled = generation_ == 0 || released_; // the first holder ever, or the last one resigned
         ++generation_;
         taken();
@@ -205,10 +247,17 @@
 void duty_task::resign()
 {
     resigned_ = true;
+    listening_ = false;
+    ++watch_number_;
     timer_.stop();
     renew_timer_.stop();
-    if (!holding_)
-        return;
+    take_timer_.stop();
+    if (holding_)
+        give_back();
+}
+
+void duty_task::give_back()
+{
     holding_ = false;
     log_event("failover_duty_resigned", {{"generation", std::to_string(generation_)}});
     platform::key_change change;
--- a/src/proxy/duty_task.h
+++ b/src/proxy/duty_task.h
@@ -5,8 +5,10 @@
 #include "inner/timer.h"
 #include "platform/metadata_client.h"
 #include "proxy/lease_task.h"
+#include "proxy/proxy_settings.h"
 #include "proxy/store_tasks.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -32,12 +34,22 @@
     static constexpr std::chrono::milliseconds grant_time{1000};
     /// Others notice the end of a lease by a watch of this length.
     static constexpr std::chrono::milliseconds watch_time{4000};
+    /// A holder that has answered so recently is at work: nobody else asks the store. Longer than it takes
+    /// to miss one answer.
+    static constexpr std::chrono::milliseconds heard_time{450};
+    /// Processes take a free duty after a part of this time of their own, so that most find it taken.
+    static constexpr std::chrono::milliseconds take_spread{60};
 
-    duty_task(event_base *base, platform::metadata_client &store, std::string vm, std::string data_centre,
-              support::address peer);
+    duty_task(event_base *base, platform::metadata_client &store, const proxy_settings &settings);
 
     void start() { look(); }
 
+    /// Goes on, after the holder has fallen silent.
+    void tick(time_point now);
+
+    /// Notes that the holder has answered what was asked at that time.
+    void heard_holder(time_point asked_at) { heard_at_ = std::max(heard_at_, asked_at); }
+
     /// Gives the duty back, so that another process has it at once.
     void resign();
 
@@ -65,21 +77,27 @@
 
 private:
     void look();
+    void decide();
     void watch();
+    void take_soon();
     void open_lease();
     void take_key();
     void taken();
     void renew();
     void lose(const char *reason);
+    void give_back();
     void again(std::chrono::milliseconds delay);
     void read_keys(const platform::store_reply &reply);
+    [[nodiscard]] bool hears_holder(time_point now) const { return now - heard_at_ < heard_time; }
 
     platform::metadata_client &store_;
     std::string vm_;
     std::string data_centre_;
     support::address peer_;
+    std::chrono::milliseconds store_lease_time_; ///< `lease_time`, or the shortest that the store grants
     inner::timer timer_;
     inner::timer renew_timer_;
+    inner::timer take_timer_;
     store_backoff backoff_;
     std::uint64_t revision_ = 0;
     std::uint64_t holder_revision_ = 0;     ///< 0: nobody holds the duty
@@ -92,6 +110,9 @@
     std::string holder_data_centre_;
     std::uint64_t holder_lease_ = 0;
     std::uint64_t lease_ = 0;
+    std::uint64_t watch_number_ = 0; ///< answers to earlier watches are passed over
+    bool listening_ = false;         ///< relies on the holder's answers; no call or timer is under way
+    time_point heard_at_;
     bool holding_ = false;
     bool resigned_ = false;
     std::function<bool(time_point)> store_is_down_ = [](time_point) { return false; };
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -25,9 +25,10 @@
     support::address peers;                  ///< where the other processes reach this one
     support::address store;
     std::optional<support::address> promotion_orders; ///< none: this VM never replaces a primary
-    milliseconds instance_heartbeat{1200};
-    milliseconds shutdown_time{6000};       ///< from SIGTERM to SIGKILL
+    milliseconds shutdown_time{6000};                 ///< from SIGTERM to SIGKILL
     milliseconds configuration_bound{3000}; ///< a change is in force this long after it was accepted
+    milliseconds drain_bound{7000};         ///< a leaving instance serves at least this long
+    milliseconds shortest_store_lease{1000};
 };
 
 } // namespace baobabport::proxy
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -19,11 +19,38 @@
 /// A home leaves the rest of an instance's connections to its successor and to the duty's holder.
 constexpr std::uint32_t home_share_percent = 70;
 
+std::string text_of(const std::optional<support::address> &at)
+{
+    return at ? at->text() : "none";
+}
+
+/// Returns the names of settings that differ and take effect only when the process starts.
+std::string unchangeable(const proxy_settings &present, const proxy_settings &wanted)
+{
+    std::string out;
+    const auto note = [&out](const char *name, const std::string &is, const std::string &to) {
+        if (is != to)
+            out += (out.empty() ? "" : ", ") + std::string(name);
+    };
+    note("process", present.process, wanted.process);
+    note("data_centre", present.data_centre, wanted.data_centre);
+    note("callers", present.callers.text(), wanted.callers.text());
+    note("probe", present.probe.text(), wanted.probe.text());
+    note("admin", text_of(present.admin), text_of(wanted.admin));
+    note("metrics", text_of(present.metrics), text_of(wanted.metrics));
+    note("peers", present.peers.text(), wanted.peers.text());
+    note("shortest_store_lease_ms", std::to_string(present.shortest_store_lease.count()),
+         std::to_string(wanted.shortest_store_lease.count()));
+    if (present.promotion_orders.has_value() != wanted.promotion_orders.has_value())
+        note("promotion_orders", text_of(present.promotion_orders), text_of(wanted.promotion_orders));
+    return out;
+}
+
 } // namespace
 
 proxy_task::proxy_task(event_base *base, proxy_settings settings, std::function<void()> stopped)
     : base_(base), settings_(std::move(settings)), stopped_(std::move(stopped)),
-      store_(base, settings_.store),
+      store_(base, settings_.store), instances_(settings_.drain_bound),
       desired_state_(base, store_, [this](auto state) { apply(std::move(state)); }),
       instance_list_(base, store_, [this](auto records) { apply(std::move(records)); }),
       access_([this](const auto &service, const auto &instance) {
@@ -36,7 +63,7 @@
                     [this](const auto &service) { return group_of(service); }};
     if (settings_.promotion_orders) {
         orders_.emplace(base_, *settings_.promotion_orders);
-        duty_.emplace(base_, store_, settings_.process, settings_.data_centre, settings_.peers);
+        duty_.emplace(base_, store_, settings_);
         duty_->on_store_down(
             [this](time_point now) { return census_.store_is_down(store_silence(now), now); });
         duty_->start();
@@ -48,6 +75,7 @@
                           [this](const auto &request, const auto &from) { return grant(request, from); },
                           [this](auto &request) { describe(request); },
                           [this](const auto &answer, auto at) { take_leases(answer, at); }});
+    desired_state_.set_bound(settings_.configuration_bound);
     desired_state_.start();
     instance_list_.start();
     timer_.repeat(tick_interval);
@@ -160,6 +188,8 @@
 
 void proxy_task::tick_duty(time_point now)
 {
+    if (duty_)
+        duty_->tick(now);
     const auto held = duty_ ? duty_->held(now) : std::nullopt;
     if (!held || held == granting_)
         return;
@@ -276,6 +306,8 @@
 
 void proxy_task::take_leases(const inner::lease_answer &answer, time_point asked_at)
 {
+    if (duty_)
+        duty_->heard_holder(asked_at);
     desired_state_.take_word(answer.desired_state_version, routes_.version(),
                              asked_at - answer.desired_state_age);
     const auto listed_at = asked_at - answer.instances_age;
@@ -336,7 +368,21 @@
 {
     settings_.shutdown_time = settings.shutdown_time;
     settings_.configuration_bound = settings.configuration_bound;
-    log_event("settings_reloaded");
+    settings_.drain_bound = settings.drain_bound;
+    desired_state_.set_bound(settings.configuration_bound);
+    instances_.set_drain_bound(settings.drain_bound);
+    if (settings.store.text() != settings_.store.text()) {
+        store_.move_to(settings.store);
+        settings_.store = settings.store;
+    }
+    if (orders_ && settings.promotion_orders) {
+        orders_->move_to(*settings.promotion_orders);
+        settings_.promotion_orders = settings.promotion_orders;
+    }
+    if (const auto kept = unchangeable(settings_, settings); !kept.empty())
+        support::log_warning("settings_need_restart", {{"settings", kept}});
+    log_event("settings_reloaded", {{"store", settings_.store.text()},
+                                    {"shutdown_ms", std::to_string(settings_.shutdown_time.count())}});
 }
 
 void proxy_task::answer_admin(const http::server_request &request, http::responder &answer)
--- a/src/proxy/settings_file.cpp
+++ b/src/proxy/settings_file.cpp
@@ -79,9 +79,10 @@
     read_address(fields, "peers", out.peers);
     read_address(fields, "store", out.store);
     read_optional_address(fields, "promotion_orders", out.promotion_orders);
-    read_time(fields, "instance_heartbeat_ms", ms, out.instance_heartbeat);
     read_time(fields, "shutdown_s", s, out.shutdown_time);
     read_time(fields, "configuration_bound_ms", ms, out.configuration_bound);
+    read_time(fields, "drain_bound_ms", ms, out.drain_bound);
+    read_time(fields, "shortest_store_lease_ms", ms, out.shortest_store_lease);
     fields.finish();
     if (error) {
         error->line = support::line_of(text, error->path);
--- a/src/proxy/store_tasks.cpp
+++ b/src/proxy/store_tasks.cpp
@@ -21,26 +21,40 @@
 }
 
 desired_state_task::desired_state_task(event_base *base, platform::metadata_client &store, state_hook changed)
-    : store_(store), changed_(std::move(changed)), timer_(base, [this] { from_start_ ? read() : follow(); })
+    : store_(store), changed_(std::move(changed)), timer_(base, [this] { follow(); })
 {
 }
 
+void desired_state_task::set_bound(std::chrono::milliseconds bound)
+{
+    watch_time_ = std::clamp(bound / 2, store_retry_first, watch_time);
+}
+
 void desired_state_task::follow()
 {
     const bool relied_on = !independent_ && support::boot_clock::now() - confirmed_at_ < word_time;
     if (relied_on)
-        again(false, word_check);
+        timer_.start(word_check);
+    else if (from_start_)
+        read();
     else
         watch();
 }
 
+void desired_state_task::confirm(std::chrono::steady_clock::time_point at)
+{
+    confirmed_at_ = std::max(confirmed_at_, at); // another process may have said so since
+}
+
 void desired_state_task::take_word(std::uint64_t newest, std::uint64_t applied,
                                    std::chrono::steady_clock::time_point confirmed_at)
 {
-    if (newest == applied)
-        confirmed_at_ = std::max(confirmed_at_, confirmed_at);
-    else if (newest > applied && !waiting_)
-        again(true, std::chrono::milliseconds(0));
+    if (newest == applied) {
+        confirm(confirmed_at);
+    } else if (newest > applied && !waiting_) {
+        timer_.stop();
+        read();
+    }
 }
 
 void desired_state_task::read()
@@ -49,13 +63,16 @@
     const auto sent = support::boot_clock::now();
     store_.read(platform::desired_state_key, store_timeout, [this, sent](const auto &reply) {
         waiting_ = false;
+        if (reply.outcome == call_outcome::missing)
+            confirm(sent); // that there is none yet is an answer, too
+        else if (reply.outcome != call_outcome::done || reply.items.empty())
+            note_failure(reply);
         if (reply.outcome != call_outcome::done || reply.items.empty()) {
-            if (reply.outcome != call_outcome::missing)
-                note_failure(reply);
-            again(true, backoff_.after_failure());
+            read_again(backoff_.after_failure());
             return;
         }
-        confirmed_at_ = sent;
+        confirm(sent);
+        from_start_ = false;
         revision_ = reply.revision;
         take(reply.items.front());
         follow();
@@ -66,24 +83,25 @@
 {
     waiting_ = true;
     const auto sent = support::boot_clock::now();
-    store_.watch(platform::desired_state_prefix, revision_, independent_ ? holder_watch_time : watch_time,
+    store_.watch(platform::desired_state_prefix, revision_,
+                 independent_ ? std::min(watch_time_, holder_watch_time) : watch_time_,
                  [this, sent](const auto &reply) {
                      waiting_ = false;
                      if (reply.outcome == call_outcome::history_gone) {
                          log_event("desired_state_history_gone", {{"revision", std::to_string(revision_)}});
-                         again(true, std::chrono::milliseconds(0));
+                         read_again(std::chrono::milliseconds(0));
                          return;
                      }
                      if (reply.outcome != call_outcome::done) {
                          note_failure(reply);
                          // A read tells at once what a watch on a bad connection would have missed.
-                         again(true, backoff_.after_failure());
+                         read_again(backoff_.after_failure());
                          return;
                      }
                      if (!reachable_)
                          log_event("store_regained", {{"use", "desired state"}});
                      reachable_ = true;
-                     confirmed_at_ = sent;
+                     confirm(sent);
                      backoff_.succeeded();
                      revision_ = std::max(revision_, reply.revision);
                      for (const auto &it : reply.items) {
@@ -105,9 +123,9 @@
     changed_(std::move(*state));
 }
 
-void desired_state_task::again(bool from_start, std::chrono::milliseconds delay)
+void desired_state_task::read_again(std::chrono::milliseconds delay)
 {
-    from_start_ = from_start;
+    from_start_ = true;
     timer_.start(delay);
 }
 
--- a/src/proxy/store_tasks.h
+++ b/src/proxy/store_tasks.h
@@ -55,6 +55,9 @@
 
     void start() { read(); }
 
+    /// Sets the bound after which a change must be in force: a watch takes at most half of it.
+    void set_bound(std::chrono::milliseconds bound);
+
     /// Returns when the store last said which state is the newest, to this process or another.
     [[nodiscard]] std::chrono::steady_clock::time_point confirmed_at() const { return confirmed_at_; }
 
@@ -74,8 +77,9 @@
     void read();
     void watch();
     void follow();
+    void confirm(std::chrono::steady_clock::time_point at);
     void take(const platform::stored_item &item);
-    void again(bool from_start, std::chrono::milliseconds delay);
+    void read_again(std::chrono::milliseconds delay);
     void note_failure(const platform::store_reply &reply);
 
     platform::metadata_client &store_;
@@ -83,7 +87,8 @@
     inner::timer timer_;
     store_backoff backoff_;
     std::uint64_t revision_ = 0;
-    bool from_start_ = true;
+    std::chrono::milliseconds watch_time_ = watch_time;
+    bool from_start_ = true; ///< the next call reads, since a watch needs a place to begin
     bool independent_ = false;
     bool waiting_ = false; ///< a call is under way
     bool reachable_ = true;
--- a/standins/kv_service.cpp
+++ b/standins/kv_service.cpp
@@ -33,7 +33,7 @@
 } // namespace
 
 kv_service::kv_service(event_base *base, const support::address &at, promote_hook promote)
-    : base_(base), promote_(std::move(promote)),
+    : base_(base), at_(at), promote_(std::move(promote)),
       server_(base, at, max_body, [this](const auto &asked, const auto &answer) { serve(asked, answer); })
 {
 }
@@ -69,6 +69,8 @@
 void kv_service::serve(const request &asked, const responder &answer)
 {
     ++calls;
+    if (on_call)
+        on_call(asked.path, asked.query_value("wait_ms"));
     if (faults.silent) {
         unanswered_.push_back(answer);
         return;
--- a/standins/kv_service.h
+++ b/standins/kv_service.h
@@ -37,12 +37,16 @@
 
     void put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
+    [[nodiscard]] const baobabport::support::address &address() const { return at_; }
     [[nodiscard]] bool has(const std::string &key) const { return items_.count(key) > 0; }
     [[nodiscard]] std::string value(const std::string &key) const { return items_.at(key).value; }
 
     /// Ends all leases, as an outage does that lets them run out.
     void end_leases();
 
+    /// Called with the path of each call and the time that it may wait.
+    std::function<void(const std::string &path, const std::string &wait_ms)> on_call;
+
     kv_faults faults;
     std::uint64_t calls = 0;
 
@@ -79,6 +83,7 @@
     [[nodiscard]] std::string item_text(const std::string &key) const;
 
     event_base *base_;
+    baobabport::support::address at_;
     promote_hook promote_;
     std::map<std::string, item> items_;
     std::list<event_record> history_;
--- a/tests/directory/test_directory.cpp
+++ b/tests/directory/test_directory.cpp
@@ -80,6 +80,16 @@
     CHECK(instances.of_service("other").empty());
 }
 
+TEST_CASE("the time for which a leaving instance gets work follows the site's bound")
+{
+    instance_directory instances(milliseconds(1200));
+    auto record = make("a");
+    record.state = instance_state::draining;
+    instances.take({record}, start);
+    CHECK(instance_directory::takes_work(*instances.find("a"), start + milliseconds(599)));
+    CHECK_FALSE(instance_directory::takes_work(*instances.find("a"), start + milliseconds(600)));
+}
+
 TEST_CASE("a leaving instance gets new work only for a while")
 {
     instance_directory instances;
@@ -89,7 +99,7 @@
     record.state = instance_state::draining;
     instances.take({record}, start + milliseconds(1000));
     instances.take({record}, start + milliseconds(2000)); // the time runs from the first report
-    const auto end = start + milliseconds(1000) + instance_directory::leaving_use;
+    const auto end = start + milliseconds(1000) + milliseconds(3500);
     CHECK(instance_directory::takes_work(*instances.find("a"), end - milliseconds(1)));
     CHECK_FALSE(instance_directory::takes_work(*instances.find("a"), end));
     record.started_at = milliseconds(99); // another process under the same id
--- a/tests/proxy/test_proxy.cpp
+++ b/tests/proxy/test_proxy.cpp
@@ -359,3 +359,42 @@
     CHECK(is_success(site.ask(*caller, "COMMIT")));
     CHECK(site.run_until([&site] { return site.stopped; }));
 }
+
+TEST_CASE("while the holder of the duty answers, other processes leave the store alone")
+{
+    proxy_site site;
+    const auto settings = site.settings_of("front-2");
+    baobabport::proxy::proxy_task other(site.base, settings, [] {});
+    site.run_for(std::chrono::milliseconds(2500)); // both know each other
+    // The holder's own watches are shorter.
+    const auto of_others = std::to_string(baobabport::proxy::desired_state_task::watch_time.count());
+    const auto duty_watch = std::to_string(baobabport::proxy::duty_task::watch_time.count());
+    int calls = 0;
+    site.store->on_call = [&](const auto &, const auto &wait_ms) {
+        calls += wait_ms == of_others || wait_ms == duty_watch ? 1 : 0;
+    };
+    site.run_for(std::chrono::milliseconds(5000));
+    CHECK(calls <= 1); // the watch of the duty that was under way may end once
+    site.configure(2, {"fresh"});
+    CHECK(site.run_until([&] {
+        test_caller caller(site.base, settings.callers);
+        caller.send("CONNECT fresh tester\r\n");
+        site.run_until([&caller] { return !caller.lines.empty() || caller.closed; });
+        return caller.lines.front() == "READY I -";
+    }));
+}
+
+TEST_CASE("when the holder of the duty falls silent, another process takes it")
+{
+    proxy_site site;
+    const auto settings = site.settings_of("front-2");
+    baobabport::proxy::proxy_task other(site.base, settings, [] {});
+    site.run_for(std::chrono::milliseconds(1500));
+    const auto first = site.store->value("baobabport/failover/holder");
+    site.proxy.reset();
+    site.store->end_leases();
+    CHECK(site.run_until([&] {
+        return site.store->has("baobabport/failover/holder") &&
+               site.store->value("baobabport/failover/holder") != first;
+    }));
+}
--- a/tests/proxy/test_settings_file.cpp
+++ b/tests/proxy/test_settings_file.cpp
@@ -13,7 +13,7 @@
     "process": "front-1", "data_centre": "erie",
     "callers": "10.0.0.1:1", "probe": "10.0.0.1:2", "admin": "", "peers": "10.0.0.1:4",
     "store": "10.0.0.9:5", "promotion_orders": "10.0.0.9:6",
-    "instance_heartbeat_ms": "1200", "shutdown_s": "2.5", "configuration_bound_ms": ""
+    "drain_bound_ms": "5000", "shutdown_s": "2.5", "configuration_bound_ms": ""
 })";
 
 std::string with(const std::string &from, const std::string &to)
@@ -33,6 +33,7 @@
     CHECK(settings->callers.text() == "10.0.0.1:1");
     CHECK_FALSE(settings->admin);
     CHECK(settings->shutdown_time == milliseconds(2500));
+    CHECK(settings->drain_bound == milliseconds(5000));
     CHECK(settings->configuration_bound == proxy_settings{}.configuration_bound);
 }
 
--- a/tests/support/proxy_site.cpp
+++ b/tests/support/proxy_site.cpp
@@ -69,14 +69,9 @@
 
 proxy_site::proxy_site() : base(event_base_new()), group(base, "db", {"a", "b", "c"})
 {
-    settings_.process = "front-1";
-    settings_.data_centre = "erie";
-    settings_.callers = free_address();
-    settings_.probe = free_address();
-    settings_.peers = free_address();
     settings_.store = free_address();
     settings_.promotion_orders = settings_.store;
-    settings_.shutdown_time = std::chrono::milliseconds(4000);
+    settings_ = settings_of("front-1");
     store.emplace(base, settings_.store, [this](const auto &, const auto &id, auto) {
         promoted.push_back(id);
         return group.promote(id) ? 200 : 409;
@@ -88,6 +83,26 @@
     run_until([this] { return store->has("baobabport/failover/holder"); });
 }
 
+proxy::proxy_settings proxy_site::settings_of(const std::string &process) const
+{
+    proxy::proxy_settings out;
+    out.process = process;
+    out.data_centre = "erie";
+    out.callers = free_address();
+    out.probe = free_address();
+    out.peers = free_address();
+    out.store = settings_.store;
+    out.promotion_orders = settings_.promotion_orders;
+    out.shutdown_time = std::chrono::milliseconds(4000);
+    return out;
+}
+
+void proxy_site::run_for(std::chrono::milliseconds time)
+{
+    const auto end = std::chrono::steady_clock::now() + time;
+    run_until([end] { return std::chrono::steady_clock::now() >= end; });
+}
+
 proxy_site::~proxy_site()
 {
     proxy.reset();
--- a/tests/support/proxy_site.h
+++ b/tests/support/proxy_site.h
@@ -6,6 +6,7 @@
 #include "line_group.h"
 #include "proxy/proxy_task.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -63,6 +64,13 @@
     void configure(std::uint64_t version, const std::vector<std::string> &more = {});
     void register_instance(const std::string &id, const std::string &state = "ready");
 
+    /// Returns settings for another process of this site.
+    [[nodiscard]] baobabport::proxy::proxy_settings settings_of(const std::string &process) const;
+
+    /// Lets the time pass.
+    void run_for(std::chrono::milliseconds time);
+
+    [[nodiscard]] const baobabport::proxy::proxy_settings &settings() const { return settings_; }
     [[nodiscard]] baobabport::support::address callers() const { return settings_.callers; }
     [[nodiscard]] int ready_status();
 
