Stand-in instances have slots, a queue, lag and a time to promote; waits counted from what runs

Cause: the stand-in answered everything at once, so no test saw the home's slots, refusals, lag or a slow promotion; the estimate of the wait took every statement as half done, also those still queued at the instance, and accepted some that could not be done in time. Change: line_group_traits; the estimate takes what runs by the time it still needs and what waits at the instance whole. The stand-in store's faults no longer hit the call to promote, so the test named 'service and failover go on while the store is away' now crashes the primary, too.

--- a/src/admission/slot_scheduler.cpp
+++ b/src/admission/slot_scheduler.cpp
@@ -36,7 +36,7 @@
         start(request.key, request.label, now);
         return slot_decision::run;
     }
-    const bool too_late = now + expected_wait(request.priority) > request.wait_until;
+    const bool too_late = now + expected_wait(request.priority, now) > request.wait_until;
     if (too_late && !request.holds_connection)
         return slot_decision::refuse;
     queued_request queued;
@@ -82,16 +82,32 @@
     return out;
 }
 
-std::chrono::microseconds slot_scheduler::expected_wait(std::uint32_t priority) const
+std::chrono::microseconds slot_scheduler::expected_wait(std::uint32_t priority, time_point now) const
 {
     if (has_room() && queue_.length() == 0)
         return std::chrono::microseconds(0);
-    auto work = queue_.work_ahead(kind_of(priority, false));
-    for (const auto &it : running_)
-        work += estimator_.expected(it.second.label) / 2; // about half of it is done
+    const auto work = queue_.work_ahead(kind_of(priority, false)) + work_in_progress(now);
     return work / std::max(1U, slots_);
 }
 
+std::chrono::microseconds slot_scheduler::work_in_progress(time_point now) const
+{
+    std::vector<const running_statement *> oldest_first;
+    for (const auto &it : running_)
+        oldest_first.push_back(&it.second);
+    std::sort(oldest_first.begin(), oldest_first.end(),
+              [](const auto *one, const auto *other) { return one->since < other->since; });
+    std::chrono::microseconds out(0);
+    std::uint32_t counted = 0;
+    for (const auto *const it : oldest_first) {
+        const auto whole = estimator_.expected(it->label);
+        const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(now - it->since);
+        // Beyond the slots a statement still waits at the instance.
+        out += counted++ < slots_ ? std::max(whole - elapsed, std::chrono::microseconds(0)) : whole;
+    }
+    return out;
+}
+
 void slot_scheduler::start(std::uint64_t key, const std::string &label, time_point now)
 {
     running_[key] = {label, now};
--- a/src/admission/slot_scheduler.h
+++ b/src/admission/slot_scheduler.h
@@ -56,7 +56,7 @@
     std::vector<std::uint64_t> expired(time_point now);
 
     /// Returns how long a new statement of the priority would wait.
-    [[nodiscard]] std::chrono::microseconds expected_wait(std::uint32_t priority) const;
+    [[nodiscard]] std::chrono::microseconds expected_wait(std::uint32_t priority, time_point now) const;
 
     [[nodiscard]] std::size_t running() const { return running_.size(); }
     [[nodiscard]] std::size_t waiting() const { return queue_.length(); }
@@ -69,6 +69,7 @@
     };
 
     [[nodiscard]] bool has_room() const { return running_.size() < slots_ + on_the_way; }
+    [[nodiscard]] std::chrono::microseconds work_in_progress(time_point now) const;
     void start(std::uint64_t key, const std::string &label, time_point now);
 
     std::uint32_t slots_;
--- a/src/proxy/instance_access.cpp
+++ b/src/proxy/instance_access.cpp
@@ -95,7 +95,7 @@
         return;
     case admission::slot_decision::refuse:
         key_ = 0;
-        refuse_overloaded(scheduler.expected_wait(request_.priority));
+        refuse_overloaded(scheduler.expected_wait(request_.priority, now));
         return;
     }
 }
@@ -316,7 +316,7 @@
                 continue;
             const auto late = it->second;
             state_->waiting.erase(it);
-            late->refuse_overloaded(scheduler.expected_wait(0));
+            late->refuse_overloaded(scheduler.expected_wait(0, now));
         }
     }
 }
--- a/standins/kv_service.cpp
+++ b/standins/kv_service.cpp
@@ -71,6 +71,8 @@
     ++calls;
     if (on_call)
         on_call(asked.path, asked.query_value("wait_ms"));
+    if (asked.path == "/promote")
+        return promote(asked, answer);
     if (faults.silent) {
         unanswered_.push_back(answer);
         return;
@@ -92,8 +94,6 @@
         return watch(asked, answer);
     if (path == "/api/kv-txn")
         return change(asked, answer);
-    if (path == "/promote")
-        return promote(asked, answer);
     if (path == "/api/kv-lease") {
         leases_[++last_lease_] = true;
         return reply(answer, 200,
--- a/standins/kv_service.h
+++ b/standins/kv_service.h
@@ -16,7 +16,7 @@
 
 namespace standin {
 
-/// What is wrong with the service.
+/// What is wrong with the service; the call to promote works all the while.
 struct kv_faults
 {
     bool refuses = false;      ///< answers 503 to every call
--- a/standins/line_group.cpp
+++ b/standins/line_group.cpp
@@ -14,6 +14,16 @@
 
 using baobabport::consistency::position;
 
+/// A statement that has a slot or waits for one.
+struct line_instance::job
+{
+    std::uint64_t number = 0;
+    std::uint64_t connection = 0;
+    std::string id;
+    std::string text;
+    std::unique_ptr<baobabport::inner::timer> ends; ///< none: it waits
+};
+
 struct line_instance::connection
 {
     line_instance *owner = nullptr;
@@ -51,7 +61,8 @@
 } // namespace
 
 line_group::line_group(event_base *base, std::string service, const std::vector<std::string> &instances)
-    : base_(base), service_(std::move(service))
+    : base_(base), service_(std::move(service)),
+      promotion_(base, [this] { lead(std::exchange(ordered_, {})); })
 {
     for (const auto &it : instances)
         instances_[it] = std::make_unique<line_instance>(base_, *this, it);
@@ -73,25 +84,40 @@
     const auto it = instances_.find(id);
     if (it == instances_.end() || it->second->crashed())
         return false;
-    auto &chosen = *it->second;
-    if (chosen.primary && chosen.term == term_)
+    const auto &chosen = *it->second;
+    if ((chosen.primary && chosen.term == term_) || ordered_ == id)
+        return true;
+    if (traits.promote.count() == 0) {
+        lead(id);
         return true;
+    }
+    ordered_ = id;
+    promotion_.start(traits.promote);
+    return true;
+}
+
+void line_group::lead(const std::string &id)
+{
+    auto &chosen = *instances_.at(id);
+    if (chosen.crashed())
+        return;
     ++term_;
     chosen.primary = true;
     chosen.term = term_;
     chosen.paused_at = 0;
-    return true;
+    chosen.apply(chosen.log.size());
 }
 
 position line_group::commit(line_instance &by, std::map<std::string, std::string> items)
 {
-    const log_entry entry{{by.term, by.last().offset + 1}, std::move(items)};
+    const log_entry entry{{by.term, by.received().offset + 1}, std::move(items)};
     by.log.push_back(entry);
+    by.apply(by.log.size());
     for (const auto &it : instances_) {
         auto &other = *it.second;
         if (&other == &by || other.primary || other.deaf || other.paused_at != 0 || other.crashed())
             continue;
-        other.log = by.log;
+        other.receive(by.log);
         other.term = by.term;
     }
     return entry.at;
@@ -99,16 +125,22 @@
 
 line_instance::line_instance(event_base *base, line_group &group, std::string id)
     : base_(base), group_(group), id_(std::move(id))
+{
+    listen();
+}
+
+void line_instance::listen()
 {
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    at.sin_port = htons(port_);
     const auto accepted = [](evconnlistener * /*listener*/, evutil_socket_t socket, sockaddr * /*from*/,
                              int /*length*/,
                              void *self) { static_cast<line_instance *>(self)->accept(socket); };
     constexpr int backlog = 64;
-    listener_ = evconnlistener_new_bind(base_, accepted, this, LEV_OPT_CLOSE_ON_FREE, backlog,
-                                        reinterpret_cast<const sockaddr *>(&at), sizeof(at));
+    listener_ = evconnlistener_new_bind(base_, accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                        backlog, reinterpret_cast<const sockaddr *>(&at), sizeof(at));
     socklen_t length = sizeof(at);
     getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr *>(&at), &length);
     port_ = ntohs(at.sin_port);
@@ -124,9 +156,44 @@
     if (listener_)
         evconnlistener_free(listener_);
     listener_ = nullptr;
+    jobs_.clear();
     connections_.clear();
 }
 
+void line_instance::restart(bool as_primary)
+{
+    if (!crashed())
+        return;
+    primary = as_primary;
+    paused_at = 0;
+    listen();
+}
+
+void line_instance::apply(std::size_t entries)
+{
+    applied_ = std::min(std::max(applied_, entries), log.size());
+}
+
+void line_instance::receive(const std::vector<log_entry> &from)
+{
+    // What another term does not have is rolled back.
+    std::size_t same = 0;
+    while (same < std::min(log.size(), from.size()) && log[same].at == from[same].at)
+        ++same;
+    if (same < log.size())
+        applied_ = std::min(applied_, same);
+    log.resize(same);
+    log.insert(log.end(), from.begin() + static_cast<std::ptrdiff_t>(same), from.end());
+    if (group_.traits.lag.count() == 0)
+        return apply(log.size());
+    const auto it = applying_.emplace(applying_.end());
+    *it = std::make_unique<baobabport::inner::timer>(base_, [this, it, entries = log.size()] {
+        apply(entries);
+        applying_.erase(it);
+    });
+    (*it)->start(group_.traits.lag);
+}
+
 void line_instance::accept(int socket)
 {
     auto it = std::make_unique<connection>();
@@ -165,10 +232,10 @@
         take_word(rest); // who is connecting
         if (service != group_.service() || (!rest.empty() && rest != id_))
             return answer(from, "ERROR MOVED " + id_ + "\r\n");
-        if (connections_.size() > group_.max_connections)
+        if (connections_.size() > group_.traits.max_connections)
             return answer(from, "ERROR MAXCONN " + id_ + "\r\n");
         from.open = true;
-        return answer(from, "READY I " + text_of(last()) + "\r\n");
+        return answer(from, "READY I " + text_of(applied()) + "\r\n");
     }
     const auto id = take_word(rest);
     query(from, id, rest);
@@ -182,17 +249,54 @@
         position wanted;
         char dot = 0;
         floor >> wanted.term >> dot >> wanted.offset;
-        if (last() < wanted)
+        if (applied() < wanted)
             return fail(from, "LAGGING");
     }
     auto rest = text;
     const auto word = take_word(rest);
     if (word == "READ" || word == "WRITE" || word == "EXECUTE" || word == "COMMIT")
-        run(from, id, text);
+        admit(from, id, text);
     else
         command(from, word, rest);
 }
 
+void line_instance::admit(connection &from, const std::string &id, const std::string &text)
+{
+    const auto &traits = group_.traits;
+    if (traits.slots == 0)
+        return run(from, id, text);
+    if (jobs_.size() >= traits.slots + traits.queue)
+        return fail(from, "BUSY");
+    jobs_.push_back({++last_job_, from.number, id, text, nullptr});
+    if (jobs_.size() <= traits.slots)
+        start(jobs_.back());
+}
+
+void line_instance::start(job &it)
+{
+    it.ends =
+        std::make_unique<baobabport::inner::timer>(base_, [this, number = it.number] { finish(number); });
+    it.ends->start(group_.traits.work);
+}
+
+void line_instance::finish(std::uint64_t number)
+{
+    const auto it =
+        std::find_if(jobs_.begin(), jobs_.end(), [&](const auto &j) { return j.number == number; });
+    const auto done = std::move(*it);
+    jobs_.erase(it);
+    for (auto &next : jobs_) {
+        if (!next.ends) {
+            start(next);
+            break;
+        }
+    }
+    // A connection that closed meanwhile has taken its transaction with it.
+    const auto from = connections_.find(done.connection);
+    if (from != connections_.end())
+        run(*from->second, done.id, done.text);
+}
+
 void line_instance::run(connection &from, const std::string &id, const std::string &text)
 {
     if (!fail_next_with.empty()) {
@@ -228,7 +332,7 @@
         return;
     }
     answer(from, rows + "COMPLETE mac" + std::to_string(++last_receipt_) + "\r\nREADY " + from.state + ' ' +
-                     text_of(last()) + "\r\n");
+                     text_of(applied()) + "\r\n");
 }
 
 void line_instance::command(connection &from, const std::string &word, const std::string &rest)
@@ -268,22 +372,22 @@
     } else {
         return fail(from, "MALFORMED");
     }
-    answer(from, std::string("COMPLETE -\r\nREADY ") + from.state + ' ' + text_of(last()) + "\r\n");
+    answer(from, std::string("COMPLETE -\r\nREADY ") + from.state + ' ' + text_of(applied()) + "\r\n");
 }
 
 void line_instance::report(connection &to)
 {
     answer(to, std::string("ROW ") + (primary ? "primary " : "replica ") + std::to_string(term) + ' ' +
-                   text_of(last()) + ' ' + std::to_string(paused_at) + " 0 0 " +
-                   std::to_string(connections_.size()) + "\r\nCOMPLETE -\r\nREADY " + to.state + ' ' +
-                   text_of(last()) + "\r\n");
+                   text_of(received()) + ' ' + std::to_string(paused_at) + " 0 " +
+                   std::to_string(jobs_.size()) + ' ' + std::to_string(connections_.size()) +
+                   "\r\nCOMPLETE -\r\nREADY " + to.state + ' ' + text_of(applied()) + "\r\n");
 }
 
 void line_instance::fail(connection &to, const std::string &code)
 {
     if (to.state == 'T')
         to.state = 'E';
-    answer(to, "ERROR " + code + ' ' + id_ + "\r\nREADY " + to.state + ' ' + text_of(last()) + "\r\n");
+    answer(to, "ERROR " + code + ' ' + id_ + "\r\nREADY " + to.state + ' ' + text_of(applied()) + "\r\n");
 }
 
 void line_instance::answer(connection &to, const std::string &body)
@@ -293,9 +397,10 @@
 
 std::string line_instance::read(const std::string &item) const
 {
-    for (auto it = log.rbegin(); it != log.rend(); ++it) {
-        const auto found = it->items.find(item);
-        if (found != it->items.end())
+    for (std::size_t n = applied_; n > 0; --n) {
+        const auto &items = log[n - 1].items;
+        const auto found = items.find(item);
+        if (found != items.end())
             return found->second;
     }
     return "none";
--- a/standins/line_group.h
+++ b/standins/line_group.h
@@ -3,12 +3,15 @@
 #pragma once
 
 #include "consistency/position.h"
+#include "inner/timer.h"
 #include "replication/member_report.h"
 #include "support/address.h"
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -40,8 +43,20 @@
     std::map<std::string, std::string> items;
 };
 
+/// What the instances of a group are like.
+struct line_group_traits
+{
+    std::uint32_t max_connections = 16;
+    std::uint32_t slots = 0;              ///< statements that run at the same time; 0: any number, at once
+    std::uint32_t queue = 8;              ///< statements that wait for a slot; more are refused as busy
+    std::chrono::milliseconds work{0};    ///< time that a statement has its slot
+    std::chrono::milliseconds lag{0};     ///< a replica applies what it has received so much later
+    std::chrono::milliseconds promote{0}; ///< from the order to the lead
+};
+
 /**
- * Instances on loopback ports, with a log each. A commit reaches replicas that are not deaf at once.
+ * Instances on loopback ports, with a log each. A commit reaches replicas that are not deaf at once; they
+ * apply it after the lag.
  */
 class line_group
 {
@@ -55,20 +70,24 @@
     [[nodiscard]] const std::string &service() const { return service_; }
     [[nodiscard]] std::vector<std::string> ids() const;
 
-    /// Makes the instance the primary of the next term; false: it is not running.
+    /// Makes the instance the primary of the next term, after a time; false: it is not running.
     bool promote(const std::string &id);
 
     /// Takes a commit of the instance; returns its position.
     baobabport::consistency::position commit(line_instance &by, std::map<std::string, std::string> items);
 
     std::vector<ran_statement> ran;
-    std::uint32_t max_connections = 16;
+    line_group_traits traits;
 
 private:
+    void lead(const std::string &id);
+
     event_base *base_;
     std::string service_;
     std::map<std::string, std::unique_ptr<line_instance>> instances_;
     std::uint64_t term_ = 1;
+    std::string ordered_; ///< the instance whose promotion is under way
+    baobabport::inner::timer promotion_;
 };
 
 /**
@@ -88,11 +107,24 @@
     /// Stops listening and cuts all connections.
     void crash();
     [[nodiscard]] bool crashed() const { return listener_ == nullptr; }
+
+    /// Comes back at its address with its log; as a replica if another instance leads by now.
+    void restart(bool as_primary);
+
+    /// Applies what was received, up to the entry.
+    void apply(std::size_t entries);
+
+    /// Takes over a log, to be applied after the lag.
+    void receive(const std::vector<log_entry> &from);
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
-    [[nodiscard]] baobabport::consistency::position last() const
+    [[nodiscard]] baobabport::consistency::position received() const
     {
         return log.empty() ? baobabport::consistency::position{1, 0} : log.back().at;
     }
+    [[nodiscard]] baobabport::consistency::position applied() const
+    {
+        return applied_ == 0 ? baobabport::consistency::position{1, 0} : log[applied_ - 1].at;
+    }
 
     bool primary = false;
     bool deaf = false;          ///< receives nothing
@@ -105,10 +137,15 @@
 
 private:
     struct connection;
+    struct job;
 
+    void listen();
     void accept(int socket);
     void take(connection &from, const std::string &line);
     void query(connection &from, const std::string &id, std::string text);
+    void admit(connection &from, const std::string &id, const std::string &text);
+    void start(job &it);
+    void finish(std::uint64_t number);
     void run(connection &from, const std::string &id, const std::string &text);
     void command(connection &from, const std::string &word, const std::string &rest);
     void answer(connection &to, const std::string &body);
@@ -124,6 +161,10 @@
     std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
     std::uint64_t last_connection_ = 0;
     std::uint64_t last_receipt_ = 0;
+    std::size_t applied_ = 0; ///< entries of the log that reads see
+    std::list<job> jobs_;     ///< running, then waiting
+    std::uint64_t last_job_ = 0;
+    std::list<std::unique_ptr<baobabport::inner::timer>> applying_; ///< one for each entry on its way
 };
 
 } // namespace standin
--- a/tests/admission/test_slot_scheduler.cpp
+++ b/tests/admission/test_slot_scheduler.cpp
@@ -88,3 +88,18 @@
     it.finished(1, false, start);
     CHECK(it.running() == 2);
 }
+
+TEST_CASE("what waits at the instance counts whole, and what runs by the time that it still takes")
+{
+    slot_scheduler it(1);
+    for (std::uint64_t key = 1; key <= 20; ++key) { // the scheduler learns that they take 100 ms
+        it.submit(make(key, 1, milliseconds(1000)), start);
+        it.finished(key, true, start + milliseconds(100));
+    }
+    it.submit(make(100, 1, milliseconds(1000)), start);
+    it.submit(make(101, 1, milliseconds(1000)), start);
+    const auto margin = milliseconds(15); // the estimator leans to the slower ones
+    CHECK(it.expected_wait(1, start) >= milliseconds(200) - margin);
+    CHECK(it.expected_wait(1, start + milliseconds(60)) <= milliseconds(140) + margin);
+    CHECK(it.expected_wait(1, start + milliseconds(900)) >= milliseconds(100) - margin);
+}
--- a/tests/proxy/test_proxy.cpp
+++ b/tests/proxy/test_proxy.cpp
@@ -304,10 +304,13 @@
     const auto caller = site.session("main");
     CHECK(is_success(site.ask(*caller, "WRITE x 1")));
     site.store->faults.refuses = true;
-    const auto since = std::chrono::steady_clock::now();
-    site.run_until(
-        [&] { return std::chrono::steady_clock::now() - since > std::chrono::milliseconds(2500); });
+    site.run_for(std::chrono::milliseconds(2500));
     CHECK(is_success(site.ask(*caller, "WRITE x 2")));
+    site.group.at("a").crash();
+    CHECK(site.run_until([&site] { return !site.promoted.empty(); }));
+    const auto again = site.session("main");
+    CHECK(site.run_until([&] { return is_success(site.ask(*again, "WRITE y 1")); }));
+    CHECK(site.ask(*again, "READ x").starts_with("ROW 2|"));
 }
 
 TEST_CASE("a watch whose history is gone begins anew and misses nothing")
--- /dev/null
+++ b/tests/proxy/test_proxy_load.cpp
@@ -0,0 +1,114 @@
+// The proxy before instances with few slots, queues and replication lag.
+
+#include "support/proxy_site.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+bool is_success(const std::string &answer)
+{
+    return answer.find("COMPLETE ") != std::string::npos && answer.find("ERROR") == std::string::npos;
+}
+
+/// Sessions that each sent one statement at the same time.
+struct crowd
+{
+    crowd(proxy_site &site, const std::string &database, int size, const std::string &text)
+    {
+        for (int n = 0; n < size; ++n)
+            callers.push_back(site.session(database));
+        for (auto &it : callers) {
+            it->lines.clear();
+            it->send("QUERY q " + text + "\r\n");
+        }
+    }
+
+    [[nodiscard]] bool answered() const
+    {
+        return std::all_of(callers.begin(), callers.end(), [](const auto &it) {
+            return !it->lines.empty() && it->lines.back().starts_with("READY");
+        });
+    }
+
+    [[nodiscard]] std::ptrdiff_t with(const std::string &start) const
+    {
+        return std::count_if(callers.begin(), callers.end(), [&](const auto &it) {
+            return !it->lines.empty() && it->lines[0].starts_with(start);
+        });
+    }
+
+    std::vector<std::unique_ptr<test_caller>> callers;
+};
+
+} // namespace
+
+TEST_CASE("more statements at once than an instance has slots are all served")
+{
+    proxy_site site;
+    site.group.traits.slots = 2;
+    site.group.traits.work = milliseconds(10);
+    site.group.traits.queue = 1; // one that arrives while the answer of another is under way
+    const crowd all(site, "main", 20, "READ x");
+    CHECK(site.run_until([&all] { return all.answered(); }));
+    CHECK(all.with("ROW") == 20);
+}
+
+TEST_CASE("what cannot be done in time is refused at once, and has not run")
+{
+    proxy_site site;
+    const auto warm = site.session("main");
+    site.group.traits.slots = 2; // as registered
+    site.group.traits.work = milliseconds(200);
+    for (int n = 0; n < 6; ++n)
+        CHECK(is_success(
+            site.ask(*warm, "WRITE x " + std::to_string(n)))); // the home learns how long they take
+    const auto before = site.group.ran.size();
+    const crowd all(site, "main", 20, "WRITE y 1");
+    site.run_for(milliseconds(150)); // well before the first can be done
+    const auto refused = all.with("ERROR BUSY");
+    CHECK(refused > 0);
+    CHECK(site.run_until([&all] { return all.answered(); }));
+    CHECK(all.with("COMPLETE") + all.with("ERROR BUSY") == 20);
+    CHECK(site.group.ran.size() - before == static_cast<std::size_t>(all.with("COMPLETE")));
+}
+
+TEST_CASE("a session reads its own writes while replicas apply them late")
+{
+    proxy_site site;
+    site.group.traits.lag = milliseconds(150);
+    const auto caller = site.session("own");
+    for (int n = 0; n < 4; ++n) {
+        CHECK(is_success(site.ask(*caller, "WRITE x " + std::to_string(n))));
+        CHECK(site.ask(*caller, "READ x").starts_with("ROW " + std::to_string(n) + "|"));
+    }
+}
+
+TEST_CASE("a bounded read is never older than its bound, whatever the lag")
+{
+    proxy_site site;
+    site.group.traits.lag = milliseconds(4000); // above the route's 2.5 s
+    const auto writer = site.session("main");
+    CHECK(is_success(site.ask(*writer, "WRITE x new")));
+    site.run_for(milliseconds(2600));
+    const auto reader = site.session("old");
+    for (int n = 0; n < 5; ++n)
+        CHECK(site.ask(*reader, "READ x").starts_with("ROW new|"));
+}
+
+TEST_CASE("a promotion that takes its time is waited for, and waiting statements are served after it")
+{
+    proxy_site site;
+    site.group.traits.promote = milliseconds(300);
+    const auto caller = site.session("main");
+    CHECK(is_success(site.ask(*caller, "WRITE x 1")));
+    site.group.at("a").crash();
+    CHECK(site.run_until([&] { return is_success(site.ask(*caller, "WRITE x 2")); }));
+    CHECK(site.ask(*caller, "READ x").starts_with("ROW 2|"));
+    site.group.at("a").restart(false);
+    CHECK(site.ask(*caller, "READ x").starts_with("ROW 2|"));
+}
