One client for the platform's store

Cause: entry, pooler and ctl called a stand-in store over a protocol of its own, with a second client beside the one of src/platform. Ruled out: dropping the HTTP programs, whose interface and tests stay. Tests of the adapter with lost answers, lost history and refusals.

--- a/src/ctl/document_commands.cpp
+++ b/src/ctl/document_commands.cpp
@@ -2,6 +2,7 @@
 
 #include "document/document_reader.h"
 #include "document/text_merge.h"
+#include "platform/metadata_client.h"
 #include "settings/settings_reader.h"
 #include "support/keys.h"
 
@@ -16,6 +17,7 @@
 
 using document::change_outcome;
 using nlohmann::json;
+using platform::call_outcome;
 
 namespace {
 
@@ -62,20 +64,18 @@
 document_commands::store_reading document_commands::read(const std::string &database)
 {
     store_reading out;
-    const auto path = "/v1/keys/" + document::document_key(database);
-    const auto answer = client_.call(settings_.store, {http::method_kind::get, path, {}, {}, store_timeout});
-    if (answer.failure != http::client_failure::none)
+    const auto call = platform::read_call(document::document_key(database), store_timeout);
+    const auto reply = platform::read_reply(client_.call(settings_.store, call));
+    out.answered = reply.outcome == call_outcome::done || reply.outcome == call_outcome::missing;
+    if (reply.outcome != call_outcome::done || reply.items.empty())
         return out;
-    out.answered = answer.status == 200 || answer.status == 404;
-    if (answer.status != 200)
-        return out;
-    const auto body = json::parse(answer.body, nullptr, false);
-    const auto envelope = body.is_object() ? document::read_envelope(body.value("value", "")) : std::nullopt;
+    const auto &item = reply.items.front();
+    const auto envelope = document::read_envelope(item.value);
     if (!envelope) {
         out.answered = false;
         return out;
     }
-    out.document = {body.value("revision", std::uint64_t{0}), *envelope};
+    out.document = {item.revision, *envelope};
     return out;
 }
 
@@ -204,18 +204,15 @@
                                                       const document::change_decision &decision,
                                                       std::uint64_t &revision)
 {
-    const auto path = "/v1/keys/" + document::document_key(database) +
-                      "?expected=" + std::to_string(decision.expected_revision);
-    const auto answer =
-        client_.call(settings_.store, {http::method_kind::put, path, decision.value, {}, store_timeout});
-    if (answer.failure != http::client_failure::none)
-        return write_end::unknown;
-    if (answer.status == 409)
+    const auto key = document::document_key(database);
+    const platform::key_change change{{{key, decision.expected_revision}}, {{key, decision.value, 0}}, {}};
+    const auto reply =
+        platform::read_reply(client_.call(settings_.store, platform::change_call(change, store_timeout)));
+    if (reply.outcome == call_outcome::conflict)
         return write_end::other_revision;
-    const auto body = json::parse(answer.body, nullptr, false);
-    if (answer.status != 200 || !body.is_object())
+    if (reply.outcome != call_outcome::done)
         return write_end::unknown;
-    revision = body.value("revision", std::uint64_t{0});
+    revision = reply.revision;
     return write_end::accepted;
 }
 
--- a/src/entry/entry_task.cpp
+++ b/src/entry/entry_task.cpp
@@ -51,8 +51,7 @@
 
 entry_task::entry_task(event_base *base, settings::process_settings settings, stopped_hook stopped)
     : base_(base), settings_(std::move(settings)), stopped_(std::move(stopped)),
-      tokens_(settings_.keys.session, settings_.keys.former_session),
-      store_(base, settings_.store, settings_.process),
+      tokens_(settings_.keys.session, settings_.keys.former_session), store_(base, settings_.store),
       links_(base, settings_.process, {settings_.keys.inner, settings_.keys.former_inner}),
       selector_(candidates_of(settings_), seed_of(settings_)), stop_timer_(base, [this] { check_stopped(); })
 {
--- a/src/platform/metadata_client.cpp
+++ b/src/platform/metadata_client.cpp
@@ -74,6 +74,8 @@
     }
 }
 
+} // namespace
+
 store_reply read_reply(const http::client_answer &answer)
 {
     store_reply out;
@@ -95,7 +97,22 @@
     return out;
 }
 
-} // namespace
+http::client_request read_call(const std::string &key, std::chrono::milliseconds timeout)
+{
+    return {http::method_kind::get, "/api/kv-key?key=" + escaped(key), {}, {}, timeout};
+}
+
+http::client_request change_call(const key_change &what, std::chrono::milliseconds timeout)
+{
+    json body{{"precondition", json::array()}, {"writes", json::array()}, {"remove", what.removals}};
+    for (const auto &it : what.conditions)
+        body["precondition"].push_back({{"key", it.key}, {"revision", it.revision}});
+    for (const auto &it : what.writes) {
+        body["writes"].push_back(
+            {{"key", it.key}, {"value", support::to_base64(it.value)}, {"lease_id", it.lease}});
+    }
+    return {http::method_kind::post, "/api/kv-txn", body.dump(), {}, timeout};
+}
 
 class metadata_client::impl : public std::enable_shared_from_this<impl>
 {
@@ -157,8 +174,7 @@
 
 void metadata_client::read(const std::string &key, std::chrono::milliseconds timeout, reply_hook done)
 {
-    impl_->send({http::method_kind::get, "/api/kv-key?key=" + escaped(key), {}, {}, timeout},
-                std::move(done));
+    impl_->send(read_call(key, timeout), std::move(done));
 }
 
 void metadata_client::list(const std::string &prefix, const std::string &after,
@@ -180,14 +196,7 @@
 
 void metadata_client::change(const key_change &what, std::chrono::milliseconds timeout, reply_hook done)
 {
-    json body{{"precondition", json::array()}, {"writes", json::array()}, {"remove", what.removals}};
-    for (const auto &it : what.conditions)
-        body["precondition"].push_back({{"key", it.key}, {"revision", it.revision}});
-    for (const auto &it : what.writes) {
-        body["writes"].push_back(
-            {{"key", it.key}, {"value", support::to_base64(it.value)}, {"lease_id", it.lease}});
-    }
-    impl_->send({http::method_kind::post, "/api/kv-txn", body.dump(), {}, timeout}, std::move(done));
+    impl_->send(change_call(what, timeout), std::move(done));
 }
 
 void metadata_client::open_lease(std::chrono::milliseconds time, std::chrono::milliseconds timeout,
--- a/src/platform/metadata_client.h
+++ b/src/platform/metadata_client.h
@@ -67,6 +67,15 @@
     std::vector<std::string> removals;
 };
 
+/// Returns the call that reads a key.
+http::client_request read_call(const std::string &key, std::chrono::milliseconds timeout);
+
+/// Returns the call that changes keys.
+http::client_request change_call(const key_change &what, std::chrono::milliseconds timeout);
+
+/// Returns what the answer to a call says.
+store_reply read_reply(const http::client_answer &answer);
+
 /**
  * Calls the store. A connection that leaves a call without answer is not used again.
  */
--- a/src/pooler/pooler_task.cpp
+++ b/src/pooler/pooler_task.cpp
@@ -30,7 +30,7 @@
 
 pooler_task::pooler_task(event_base *base, settings::process_settings settings, stopped_hook stopped)
     : base_(base), settings_(std::move(settings)), stopped_(std::move(stopped)),
-      store_(base, settings_.store, settings_.process),
+      store_(base, settings_.store),
       links_(base, settings_.process, {settings_.keys.inner, settings_.keys.former_inner}),
       housekeeping_(base, [this] { housekeeping(); })
 {
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -1,126 +1,95 @@
 #include "store/store_client.h"
 
-#include <nlohmann/json.hpp>
+#include "support/json_log.h"
+
+#include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace baobabport::store {
 
+using platform::call_outcome;
+
 namespace {
 
-constexpr std::size_t max_idle = 4;
-constexpr std::chrono::milliseconds watch_slack{2000};
+/// A read that takes longer has failed; its usual answer takes a few milliseconds.
+constexpr std::chrono::milliseconds read_time{2000};
 
-store_answer read_answer(const http::client_answer &answer)
+/// Returns what the reply says of the key.
+store_answer read_answer(const std::string &key, const platform::store_reply &reply)
 {
     store_answer out;
-    if (answer.failure != http::client_failure::none)
-        return out;
-    switch (answer.status) {
-    case 204:
-        out.outcome = store_outcome::unchanged;
-        return out;
-    case 404:
+    if (reply.outcome == call_outcome::missing)
         out.outcome = store_outcome::no_such_key;
+    if (reply.outcome != call_outcome::done)
         return out;
-    case 409:
-        out.outcome = store_outcome::other_revision;
-        return out;
-    case 200:
-        break;
-    default:
-        return out;
-    }
-    try {
-        const auto body = nlohmann::json::parse(answer.body);
-        out.revision = body.at("revision").get<std::uint64_t>();
-        out.value = body.value("value", "");
-        out.outcome = store_outcome::done;
-    } catch (const nlohmann::json::exception &) {
-        out.outcome = store_outcome::unknown;
+    out.outcome = store_outcome::unchanged;
+    for (const auto &it : reply.items) {
+        if (it.key != key) // a watch goes by prefix
+            continue;
+        out.outcome = it.removed ? store_outcome::no_such_key : store_outcome::done;
+        out.revision = it.revision;
+        out.value = it.value;
     }
     return out;
 }
 
 } // namespace
 
-class store_client::impl : public std::enable_shared_from_this<impl>
-{
-public:
-    impl(event_base *base, support::address at, std::string process)
-        : base_(base), at_(std::move(at)), process_(std::move(process))
-    {
-    }
-
-    void send(http::client_request request, answer_hook done)
-    {
-        ++calls_;
-        request.headers.push_back({"User-Agent", process_});
-        std::shared_ptr<http::http_client> client;
-        if (idle_.empty()) {
-            client = std::make_shared<http::http_client>(base_, at_);
-        } else {
-            client = std::move(idle_.back());
-            idle_.pop_back();
-        }
-        auto *const raw = client.get();
-        raw->send(request, [self = weak_from_this(), client, done = std::move(done)](const auto &answer) {
-            const auto me = self.lock();
-            if (!me)
-                return;
-            me->healthy_ = answer.failure == http::client_failure::none;
-            if (me->healthy_ && me->idle_.size() < max_idle)
-                me->idle_.push_back(client);
-            done(read_answer(answer));
-        });
-    }
-
-    [[nodiscard]] std::uint64_t calls() const { return calls_; }
-    [[nodiscard]] bool healthy() const { return healthy_; }
-
-private:
-    event_base *base_;
-    support::address at_;
-    std::string process_;
-    std::vector<std::shared_ptr<http::http_client>> idle_;
-    std::uint64_t calls_ = 0;
-    bool healthy_ = true;
-};
-
-store_client::store_client(event_base *base, support::address at, std::string process)
-    : impl_(std::make_shared<impl>(base, std::move(at), std::move(process)))
+void store_client::note(const platform::store_reply &reply)
 {
+    const bool served = reply.outcome != call_outcome::no_answer && reply.outcome != call_outcome::refused;
+    if (healthy_ && !served)
+        support::log_warning("store_lost", {{"reason", reply.reason}});
+    else if (!healthy_ && served)
+        support::log_event("store_regained");
+    healthy_ = served;
 }
 
-store_client::~store_client() = default;
-
 void store_client::read(const std::string &key, std::chrono::milliseconds timeout, answer_hook done)
 {
-    impl_->send({http::method_kind::get, "/v1/keys/" + key, {}, {}, timeout}, std::move(done));
+    calls_.read(key, timeout, [this, key, done = std::move(done)](const auto &reply) {
+        note(reply);
+        if (reply.outcome == call_outcome::done)
+            known_until_[key] = std::max(known_until_[key], reply.revision);
+        done(read_answer(key, reply));
+    });
 }
 
 void store_client::watch(const std::string &key, std::uint64_t after, std::chrono::milliseconds wait,
                          answer_hook done)
 {
-    const auto path =
-        "/v1/keys/" + key + "?after=" + std::to_string(after) + "&wait_ms=" + std::to_string(wait.count());
-    impl_->send({http::method_kind::get, path, {}, {}, wait + watch_slack}, std::move(done));
+    if (after == 0) // a watch needs a place to begin
+        return read(key, std::min(wait, read_time), std::move(done));
+    const auto from = std::max(after, known_until_[key]);
+    calls_.watch(key, from, wait, [this, key, after, wait, done = std::move(done)](const auto &reply) {
+        note(reply);
+        if (reply.outcome == call_outcome::history_gone) {
+            read(key, std::min(wait, read_time), [after, done](auto answer) {
+                if (answer.outcome == store_outcome::done && answer.revision <= after)
+                    answer.outcome = store_outcome::unchanged;
+                done(answer);
+            });
+            return;
+        }
+        if (reply.outcome == call_outcome::done)
+            known_until_[key] = std::max(known_until_[key], reply.revision);
+        done(read_answer(key, reply));
+    });
 }
 
 void store_client::compare_and_swap(const std::string &key, std::uint64_t expected, std::string value,
                                     std::chrono::milliseconds timeout, answer_hook done)
 {
-    const auto path = "/v1/keys/" + key + "?expected=" + std::to_string(expected);
-    impl_->send({http::method_kind::put, path, std::move(value), {}, timeout}, std::move(done));
-}
-
-std::uint64_t store_client::calls() const
-{
-    return impl_->calls();
-}
-bool store_client::healthy() const
-{
-    return impl_->healthy();
+    const platform::key_change change{{{key, expected}}, {{key, std::move(value), 0}}, {}};
+    calls_.change(change, timeout, [this, done = std::move(done)](const auto &reply) {
+        note(reply);
+        store_answer out;
+        if (reply.outcome == call_outcome::conflict)
+            out.outcome = store_outcome::other_revision;
+        else if (reply.outcome == call_outcome::done)
+            out = {store_outcome::done, reply.revision, {}};
+        done(out);
+    });
 }
 
 } // namespace baobabport::store
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -1,15 +1,13 @@
-// The platform's key-value service, as the processes use it.
+// Single keys of the platform's store, as the entries and poolers use them.
 
 #pragma once
 
-#include "http/http_client.h"
-#include "support/address.h"
+#include "platform/metadata_client.h"
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <list>
-#include <memory>
+#include <map>
 #include <string>
 
 struct event_base;
@@ -33,19 +31,14 @@
 };
 
 /**
- * Reads, watches and compare-and-swaps keys. Counts its calls.
- *
- * Each call uses a connection of its own from a small set of idle ones.
+ * Reads, watches and compare-and-swaps single keys over the platform's client.
  */
 class store_client
 {
 public:
     using answer_hook = std::function<void(const store_answer &)>;
 
-    store_client(event_base *base, support::address at, std::string process);
-    ~store_client();
-    store_client(const store_client &) = delete;
-    store_client &operator=(const store_client &) = delete;
+    store_client(event_base *base, const support::address &at) : calls_(base, at) {}
 
     void read(const std::string &key, std::chrono::milliseconds timeout, answer_hook done);
 
@@ -56,12 +49,19 @@
     void compare_and_swap(const std::string &key, std::uint64_t expected, std::string value,
                           std::chrono::milliseconds timeout, answer_hook done);
 
-    [[nodiscard]] std::uint64_t calls() const;
-    [[nodiscard]] bool healthy() const;
+    [[nodiscard]] std::uint64_t calls() const { return calls_.calls(); }
+
+    /// Returns true if the store answered the last call.
+    [[nodiscard]] bool healthy() const { return healthy_; }
 
 private:
-    class impl;
-    std::shared_ptr<impl> impl_;
+    void note(const platform::store_reply &reply);
+
+    platform::metadata_client calls_;
+    bool healthy_ = true;
+    /// The store's revision up to which a key's changes are known: later than its own revision, so that the
+    /// store's history need not reach back that far.
+    std::map<std::string, std::uint64_t> known_until_;
 };
 
 } // namespace baobabport::store
--- a/standins/kv_service.cpp
+++ b/standins/kv_service.cpp
@@ -34,7 +34,7 @@
 
 kv_service::kv_service(event_base *base, const support::address &at, promote_hook promote)
     : base_(base), at_(at), promote_(std::move(promote)),
-      server_(base, at, max_body, [this](const auto &asked, const auto &answer) { serve(asked, answer); })
+      server_(base, at, max_body, [this](const auto &asked, const auto &answer) { take(asked, answer); })
 {
 }
 
@@ -66,6 +66,37 @@
         remove(it);
 }
 
+void kv_service::take(const request &asked, const responder &answer)
+{
+    if (asked.path == "/control")
+        return control(asked, answer);
+    if (faults.delay.count() == 0)
+        return serve(asked, answer);
+    const auto it = delayed_.emplace(delayed_.end());
+    *it = std::make_unique<inner::timer>(base_, [this, it, asked, answer] {
+        delayed_.erase(it);
+        serve(asked, answer);
+    });
+    (*it)->start(faults.delay);
+}
+
+void kv_service::control(const request &asked, const responder &answer)
+{
+    const auto wanted = json::parse(asked.body.empty() ? "{}" : asked.body, nullptr, false);
+    if (!wanted.is_object())
+        return reply(answer, 400, {{"error", "not an object"}});
+    faults.silent = wanted.value("down", faults.silent);
+    faults.refuses = wanted.value("refuses", faults.refuses);
+    faults.delay = std::chrono::milliseconds(wanted.value("delay_ms", faults.delay.count()));
+    faults.lose_answers = wanted.value("lose_answers", faults.lose_answers);
+    if (faults.silent) {
+        for (auto &it : watches_)
+            unanswered_.push_back(it.answer);
+        watches_.clear();
+    }
+    reply(answer, 200, {{"calls", calls}, {"watches", watches_.size()}});
+}
+
 void kv_service::serve(const request &asked, const responder &answer)
 {
     ++calls;
@@ -165,7 +196,12 @@
         items_.erase(it.get<std::string>());
         note(it.get<std::string>());
     }
-    reply(answer, 200, {{"revision", revision_}});
+    if (faults.lose_answers > 0) {
+        --faults.lose_answers;
+        unanswered_.push_back(answer);
+    } else {
+        reply(answer, 200, {{"revision", revision_}});
+    }
     wake();
 }
 
--- a/standins/kv_service.h
+++ b/standins/kv_service.h
@@ -5,6 +5,7 @@
 #include "http/http_server.h"
 #include "inner/timer.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -19,13 +20,16 @@
 /// What is wrong with the service; the call to promote works all the while.
 struct kv_faults
 {
-    bool refuses = false;      ///< answers 503 to every call
-    bool silent = false;       ///< answers nothing
-    bool history_gone = false; ///< the next watch gets 410
+    bool refuses = false;               ///< answers 503 to every call
+    bool silent = false;                ///< answers nothing
+    bool history_gone = false;          ///< the next watch gets 410
+    std::chrono::milliseconds delay{0}; ///< before each call is served
+    int lose_answers = 0;               ///< the next changes take effect and are not answered
 };
 
 /**
- * Keys with revisions, leases and watches over HTTP.
+ * Keys with revisions, leases and watches over HTTP. `POST /control` sets faults: `down` (no answers),
+ * `refuses`, `delay_ms` and `lose_answers`.
  */
 class kv_service
 {
@@ -72,7 +76,9 @@
     using request = baobabport::http::server_request;
     using responder = std::shared_ptr<baobabport::http::responder>;
 
+    void take(const request &asked, const responder &answer);
     void serve(const request &asked, const responder &answer);
+    void control(const request &asked, const responder &answer);
     void list(const request &asked, const responder &answer);
     void watch(const request &asked, const responder &answer);
     void change(const request &asked, const responder &answer);
@@ -89,6 +95,7 @@
     std::list<event_record> history_;
     std::list<waiting_watch> watches_;
     std::list<responder> unanswered_;
+    std::list<std::unique_ptr<baobabport::inner::timer>> delayed_;
     std::uint64_t revision_ = 100;
     std::uint64_t last_lease_ = 0;
     std::map<std::uint64_t, bool> leases_;
--- /dev/null
+++ b/tests/store/test_store_client.cpp
@@ -0,0 +1,109 @@
+// Single keys over the platform's client, with the store's faults.
+
+#include "kv_service.h"
+#include "store/store_client.h"
+#include "support/free_address.h"
+
+#include <catch2/catch.hpp>
+#include <event2/event.h>
+#include <optional>
+
+using namespace baobabport;
+using std::chrono::milliseconds;
+using store::store_answer;
+using store::store_outcome;
+
+namespace {
+
+struct fixture
+{
+    fixture()
+        : base(event_base_new()),
+          service(base, testing::free_address(), [](const auto &, const auto &, auto) { return 200; }),
+          client(base, service.address())
+    {
+    }
+
+    /// Waits for the answer of one call.
+    store_answer wait()
+    {
+        while (!answer)
+            event_base_loop(base, EVLOOP_ONCE);
+        return *std::exchange(answer, std::nullopt);
+    }
+
+    store::store_client::answer_hook hook()
+    {
+        return [this](const auto &it) { answer = it; };
+    }
+
+    event_base *base;
+    standin::kv_service service;
+    store::store_client client;
+    std::optional<store_answer> answer;
+};
+
+constexpr milliseconds time_limit{1000};
+
+} // namespace
+
+TEST_CASE("a key is made once and then changed by its revision only")
+{
+    fixture it;
+    it.client.read("documents/a", time_limit, it.hook());
+    CHECK(it.wait().outcome == store_outcome::no_such_key);
+    it.client.compare_and_swap("documents/a", 0, "one", time_limit, it.hook());
+    const auto made = it.wait();
+    CHECK(made.outcome == store_outcome::done);
+    it.client.compare_and_swap("documents/a", 0, "two", time_limit, it.hook());
+    CHECK(it.wait().outcome == store_outcome::other_revision);
+    it.client.compare_and_swap("documents/a", made.revision, "two", time_limit, it.hook());
+    CHECK(it.wait().outcome == store_outcome::done);
+    it.client.read("documents/a", time_limit, it.hook());
+    CHECK(it.wait().value == "two");
+}
+
+TEST_CASE("a watch tells of its own key only, once it changes")
+{
+    fixture it;
+    it.service.put("documents/a", "one");
+    it.client.watch("documents/a", 0, time_limit, it.hook());
+    const auto first = it.wait();
+    CHECK(first.value == "one");
+    it.service.put("documents/ab", "of another key with the same beginning");
+    it.client.watch("documents/a", first.revision, milliseconds(100), it.hook());
+    CHECK(it.wait().outcome == store_outcome::unchanged);
+    it.client.watch("documents/a", first.revision, milliseconds(2000), it.hook());
+    it.service.put("documents/a", "two");
+    CHECK(it.wait().value == "two");
+}
+
+TEST_CASE("a watch whose history is gone tells of a change in between")
+{
+    fixture it;
+    it.service.put("a", "one");
+    it.client.read("a", time_limit, it.hook());
+    const auto first = it.wait();
+    it.service.faults.history_gone = true;
+    it.client.watch("a", first.revision, time_limit, it.hook());
+    CHECK(it.wait().outcome == store_outcome::unchanged);
+    it.service.put("a", "two");
+    it.service.faults.history_gone = true;
+    it.client.watch("a", first.revision, time_limit, it.hook());
+    CHECK(it.wait().value == "two");
+}
+
+TEST_CASE("a write whose answer is lost is unknown, and the store is known to be away")
+{
+    fixture it;
+    it.service.faults.lose_answers = 1;
+    it.client.compare_and_swap("a", 0, "one", milliseconds(100), it.hook());
+    CHECK(it.wait().outcome == store_outcome::unknown);
+    CHECK_FALSE(it.client.healthy());
+    it.client.read("a", time_limit, it.hook());
+    CHECK(it.wait().value == "one"); // it has taken effect
+    CHECK(it.client.healthy());
+    it.service.faults.refuses = true;
+    it.client.read("a", time_limit, it.hook());
+    CHECK(it.wait().outcome == store_outcome::unknown);
+}
