A planned handover loses no acknowledged write

Cause: for a leaving primary the replicas were paused first and leases waited for afterwards (up to 0.6 s); meanwhile processes with a lease acknowledged writes that no replica received, and the promotion lost them. A leaving primary that falls silent is replaced like any other.

--- a/src/failover/switchover.cpp
+++ b/src/failover/switchover.cpp
@@ -64,7 +64,8 @@
         return now - *leaderless_since_ >= leaderless_limit;
     }
     leaderless_since_.reset();
-    if (primary->leaving) {
+    // While leases last, writes are acknowledged that paused replicas would not receive.
+    if (primary->leaving && group.leases_ended) {
         last_reason_ = "the primary is leaving";
         return true;
     }
--- a/tests/failover/test_switchover.cpp
+++ b/tests/failover/test_switchover.cpp
@@ -155,6 +155,26 @@
     CHECK_FALSE(has(it.step(group, after(milliseconds(70))), action_kind::promote, "c"));
 }
 
+TEST_CASE("replicas of a leaving primary receive until nobody relies on a lease")
+{
+    switchover it;
+    auto group = healthy();
+    group.members[0].leaving = true;
+    group.leases_ended = false;
+    CHECK(it.step(group, start).empty());
+    group.leases_ended = true;
+    CHECK(has(it.step(group, after(milliseconds(100))), action_kind::pause, "b"));
+}
+
+TEST_CASE("a leaving primary that falls silent is replaced like any other")
+{
+    switchover it;
+    auto group = silent(switchover::silence_limit);
+    group.members[0].leaving = true;
+    group.leases_ended = false;
+    CHECK(has(it.step(group, start), action_kind::pause, "b"));
+}
+
 TEST_CASE("a leaving primary is replaced at once, a group without one after a while")
 {
     auto group = healthy();
--- a/tests/proxy/test_proxy_load.cpp
+++ b/tests/proxy/test_proxy_load.cpp
@@ -112,3 +112,35 @@
     site.group.at("a").restart(false);
     CHECK(site.ask(*caller, "READ x").starts_with("ROW 2|"));
 }
+
+TEST_CASE("a planned handover loses nothing that was acknowledged")
+{
+    proxy_site site;
+    site.group.traits.promote = milliseconds(300);
+    // Not the holder of the duty, which ends its own leases at once.
+    const auto settings = site.settings_of("front-2");
+    baobabport::proxy::proxy_task other(site.base, settings, [] {});
+    site.run_for(milliseconds(1500));
+    test_caller caller(site.base, settings.callers);
+    caller.send("CONNECT main tester\r\n");
+    site.run_until([&caller] { return !caller.lines.empty(); });
+    std::vector<std::string> acknowledged;
+    int n = 0;
+    const auto write = [&] {
+        const auto value = std::to_string(++n);
+        if (is_success(site.ask(caller, "WRITE x " + value)))
+            acknowledged.push_back(value);
+    };
+    write();
+    site.register_instance("a", "draining");
+    CHECK(site.run_until([&] {
+        write();
+        return !site.group.at("a").primary;
+    }));
+    for (int more = 0; more < 10; ++more)
+        write();
+    const auto &log = site.group.at(site.promoted.front()).log;
+    for (const auto &it : acknowledged)
+        CHECK(std::count_if(log.begin(), log.end(),
+                            [&it](const auto &entry) { return entry.items.at("x") == it; }) == 1);
+}
