The test of aged requests gives them time that is not over

Its requests' deadlines lay before the time at which they were taken; since a queue hands out nothing past its time, the loop never ended. The bounds it checks are the same.

--- a/tests/admission/test_request_queue.cpp
+++ b/tests/admission/test_request_queue.cpp
@@ -53,15 +53,19 @@
 {
     request_queue queue;
     const document::limit_policy limits;
-    REQUIRE(queue.push(make(1, "audit", priority_kind::background), limits));
     const auto later = start + 2 * limits.ageing;
+    auto audit = make(1, "audit", priority_kind::background);
+    audit.deadline = later + milliseconds(1000);
+    REQUIRE(queue.push(audit, limits));
     int until_audit = 0;
     for (std::uint64_t n = 10; n < 40; ++n) {
         auto fresh = make(n, "sign_off", priority_kind::first);
         fresh.enqueued_at = later;
+        fresh.deadline = later + milliseconds(1000);
         REQUIRE(queue.push(fresh, limits));
     }
-    while (queue.take(anything, limits, later)->key != 1)
+    for (auto next = queue.take(anything, limits, later); next && next->key != 1;
+         next = queue.take(anything, limits, later))
         ++until_audit;
     CHECK(until_audit >= 3);
     CHECK(until_audit < 30);
