A soak of real processes under random, overlapping faults

Change: soak/ starts proxies as child processes behind loopback relays that delay, reset, refuse and silence one way; kills, freezes, stops and restarts them by signals; lets the store refuse, fall silent, slow down, lose answers, history and leases; crashes, silences, cuts and replaces instances; changes the desired state. Callers keep using open sessions. It checks read-your-writes, staleness, acknowledged, refused and doubled writes, whole transactions, session values, desired states in force and never back, work to leaving instances, planned stops and recovery. `make soak SEEDS=50`; three short seeds in `make test`.

--- a/Makefile
+++ b/Makefile
@@ -9,10 +9,11 @@
 	@echo "setup         install the Debian packages of packages.txt"
 	@echo "build         compile everything into $(BUILD)/"
 	@echo "demo          install, build, start a small system, walk through it and stop it"
-	@echo "test          run all tests"
+	@echo "test          run all tests and a short soak"
 	@echo "format        rewrite the sources with clang-format"
 	@echo "format-check  fail if a source is not formatted"
 	@echo "lint          run clang-tidy over all sources"
+	@echo "soak          play random faults against real processes (SEEDS, FIRST)"
 	@echo "sanitize      run the tests under the address and undefined-behaviour sanitizers"
 
 setup:
@@ -29,6 +30,7 @@
 
 test: setup build
 	@cd $(BUILD) && ctest --output-on-failure -j 6
+	@$(MAKE) --no-print-directory soak SEEDS=3 SOAK_SECONDS=6
 
 format:
 	@git ls-files '*.h' '*.cpp' | xargs clang-format -i
@@ -57,6 +59,16 @@
 explore: build
 	@$(BUILD)/baobabport-tests "[.explore]"
 
+# Random faults against real processes: make soak SEEDS=50 FIRST=1000. Four seeds at a time.
+SEEDS ?= 4
+FIRST ?= 1
+SOAK_SECONDS ?= 12
+.PHONY: soak
+soak: setup build
+	@seq $(FIRST) $$(($(FIRST) + $(SEEDS) - 1)) | xargs -P 4 -n 1 $(BUILD)/baobabport-soak \
+	  --program $(BUILD)/baobabport-proxy --folder $(BUILD)/soak --seconds $(SOAK_SECONDS) --first
+	@echo "soak: nothing broken in $(SEEDS) seeds"
+
 .PHONY: demo mutants explore measure measure-load measure-failover
 measure-load: build
 	@measure/load.sh
--- /dev/null
+++ b/soak/caller.cpp
@@ -0,0 +1,274 @@
+#include "caller.h"
+
+#include "support/socket_options.h"
+
+#include <array>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <utility>
+
+namespace soak {
+
+using namespace baobabport;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Longer than any route's time limit: an answer that has not come by then does not come.
+constexpr milliseconds patience{4000};
+constexpr std::uint64_t longest_pause_ms = 30;
+constexpr milliseconds reconnect_pause{60};
+/// A statement may cross the end of its idle session; the bound of the users' sites.
+constexpr milliseconds lost_slack{200};
+/// Staleness that the `old` routes allow, as the site's desired state says.
+constexpr milliseconds staleness{2500};
+
+bool is_promise(const std::string &code)
+{
+    static const std::array<const char *, 6> promises = {"BUSY",     "ABORTED", "LAGGING",
+                                                         "READONLY", "MOVED",   "MAXCONN"};
+    for (const auto *const it : promises) {
+        if (code == it)
+            return true;
+    }
+    return false;
+}
+
+std::string word(const std::string &line, std::size_t number)
+{
+    std::size_t at = 0;
+    for (std::size_t n = 0; n < number && at != std::string::npos; ++n) {
+        at = line.find(' ', at);
+        at = at == std::string::npos ? at : at + 1;
+    }
+    return at == std::string::npos ? "" : line.substr(at, line.find(' ', at) - at);
+}
+
+} // namespace
+
+caller::caller(event_base *base, ledger &book, const std::vector<entry_point> &entries, std::string name,
+               std::string service, std::uint64_t seed)
+    : base_(base), book_(book), entries_(entries), name_(std::move(name)), service_(std::move(service)),
+      random_(seed), pause_(base, [this] { socket_ ? next() : connect(); }),
+      give_up_(base, [this] { close(false); })
+{
+    pause_.start(milliseconds(random(100)));
+}
+
+caller::~caller()
+{
+    if (socket_)
+        bufferevent_free(socket_);
+}
+
+void caller::connect()
+{
+    if (stopping_)
+        return;
+    entry_ = random(entries_.size());
+    const std::array<const char *, 3> kinds = {"main", "own", "old"};
+    route_ = kinds.at(random(kinds.size()));
+    reader_ = {};
+    prepared_ = false;
+    fresh_items(); // what an earlier session wrote is no part of this one's floor
+    socket_ = bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(
+        socket_, [](bufferevent * /*from*/, void *me) { static_cast<caller *>(me)->read_lines(); }, nullptr,
+        [](bufferevent * /*from*/, short what, void *me) {
+            if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+                static_cast<caller *>(me)->close(true);
+        },
+        this);
+    bufferevent_enable(socket_, EV_READ | EV_WRITE);
+    const auto to = support::to_sockaddr(entries_[entry_].at);
+    bufferevent_socket_connect(socket_, reinterpret_cast<const sockaddr *>(&to), sizeof(to));
+    const auto hello = "CONNECT " + route_ + service_ + ' ' + name_ + "\r\n";
+    bufferevent_write(socket_, hello.data(), hello.size());
+    waiting_ = [this](const auto &code, const auto &) {
+        if (!code.empty())
+            return close(false);
+        ask("SET tag " + name_, [this](const auto &failed, const auto &) {
+            failed.empty() ? pause_.start(milliseconds(0)) : close(false);
+        });
+    };
+    give_up_.start(patience);
+}
+
+void caller::close(bool by_peer)
+{
+    const auto &entry = entries_[entry_];
+    const bool cut = by_peer && waiting_ && statements_ > 0 && entry.stops_as_planned();
+    const auto waited = std::chrono::steady_clock::now() - sent_at_;
+    if (cut && (waited > lost_slack || entry.has_run(last_id_)))
+        book_.breach(name_ + " lost its session without an answer to " + last_id_ + " in a planned stop");
+    give_up_.stop();
+    if (socket_)
+        bufferevent_free(socket_);
+    socket_ = nullptr;
+    if (auto hook = std::exchange(waiting_, {}); hook && statements_ > 0)
+        hook("LOST", "");
+    statements_ = 0;
+    pause_.start(reconnect_pause);
+}
+
+void caller::read_lines()
+{
+    auto *const in = bufferevent_get_input(socket_);
+    std::string bytes(evbuffer_get_length(in), '\0');
+    evbuffer_remove(in, bytes.data(), bytes.size());
+    reader_.append(bytes);
+    while (socket_) {
+        const auto line = reader_.next();
+        if (!line)
+            return;
+        const auto kind = word(*line, 0);
+        if (kind == "ERROR") {
+            code_ = word(*line, 1);
+        } else if (kind == "ROW") {
+            row_ = line->substr(4);
+        } else if (kind == "READY") {
+            give_up_.stop();
+            if (auto hook = std::exchange(waiting_, {}))
+                hook(std::exchange(code_, {}), std::exchange(row_, {}));
+        }
+        if (kind == "ERROR" && statements_ == 0)
+            return close(false); // the session is refused
+    }
+}
+
+void caller::ask(const std::string &text, std::function<void(const std::string &, const std::string &)> done)
+{
+    if (!socket_)
+        return done("LOST", "");
+    ++statements_;
+    code_.clear();
+    row_.clear();
+    waiting_ = std::move(done);
+    last_id_ = name_ + '-' + std::to_string(statements_) + '.' + std::to_string(random_());
+    sent_at_ = std::chrono::steady_clock::now();
+    const auto line = "QUERY " + last_id_ + ' ' + text + "\r\n";
+    bufferevent_write(socket_, line.data(), line.size());
+    give_up_.start(patience);
+}
+
+void caller::next()
+{
+    if (stopping_) {
+        close(false);
+        return;
+    }
+    constexpr std::uint64_t kinds = 10;
+    const auto choice = random(kinds);
+    if (choice < 3)
+        write();
+    else if (choice < 4)
+        write_prepared();
+    else if (choice < 6)
+        transaction();
+    else
+        read_item(service_ + ':' + name_ + '.' + std::to_string(generation_));
+}
+
+void caller::told_of(const std::string &item, std::uint64_t number, const std::string &code)
+{
+    const auto what = code.empty() ? told::kept : is_promise(code) ? told::refused : told::nothing;
+    book_.answered(item, number, what, std::chrono::steady_clock::now());
+    if (what == told::kept)
+        ++served_;
+    if (what == told::nothing)
+        fresh_items(); // it may take effect after later ones
+}
+
+void caller::fresh_items()
+{
+    ++generation_;
+}
+
+void caller::write()
+{
+    const auto item = service_ + ':' + name_ + '.' + std::to_string(generation_);
+    const auto number = book_.sent(item);
+    ask("WRITE " + item + ' ' + std::to_string(number), [this, item, number](const auto &code, const auto &) {
+        told_of(item, number, code);
+        if (socket_)
+            pause_.start(milliseconds(random(longest_pause_ms)));
+    });
+}
+
+void caller::write_prepared()
+{
+    if (!prepared_) {
+        ask("PREPARE put WRITE shape", [this](const auto &code, const auto &) {
+            prepared_ = code.empty();
+            if (socket_)
+                prepared_ ? write_prepared() : close(false);
+        });
+        return;
+    }
+    const auto item = service_ + ':' + name_ + '.' + std::to_string(generation_);
+    const auto number = book_.sent(item);
+    ask("EXECUTE put " + item + ' ' + std::to_string(number),
+        [this, item, number](const auto &code, const auto &) {
+            told_of(item, number, code);
+            if (code == "UNKNOWN")
+                book_.breach(name_ + "'s prepared statement is unknown");
+            if (socket_)
+                pause_.start(milliseconds(random(longest_pause_ms)));
+        });
+}
+
+time_point caller::floor_time() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    return route_ == "old" ? now - staleness : now;
+}
+
+void caller::read_item(const std::string &item)
+{
+    const auto least = book_.owed(item, floor_time());
+    ask("READ " + item, [this, item, least](const auto &code, const auto &row) {
+        if (code.empty()) {
+            ++served_;
+            book_.read(item, row, least, name_ + " on " + route_);
+        }
+        if (socket_)
+            pause_.start(milliseconds(random(longest_pause_ms)));
+    });
+}
+
+void caller::transaction()
+{
+    ask("BEGIN", [this](const auto &code, const auto &) {
+        if (!code.empty())
+            return socket_ ? pause_.start(reconnect_pause) : void();
+        const auto item = service_ + ':' + name_ + ".x" + std::to_string(generation_);
+        const auto number = book_.sent(item);
+        const auto second = item + 'y';
+        book_.sent(second);
+        book_.paired(item, second, number);
+        const auto text = std::to_string(number);
+        ask("WRITE " + item + ' ' + text, [this, second, text, number](const auto &failed, const auto &) {
+            if (!failed.empty())
+                return finish_transaction(number, false);
+            ask("WRITE " + second + ' ' + text, [this, number](const auto &again, const auto &) {
+                finish_transaction(number, again.empty() && random(4) != 0);
+            });
+        });
+    });
+}
+
+void caller::finish_transaction(std::uint64_t number, bool commit)
+{
+    const auto item = service_ + ':' + name_ + ".x" + std::to_string(generation_);
+    ask(commit ? "COMMIT" : "ROLLBACK", [this, item, number, commit](const auto &code, const auto &) {
+        // Without a commit nothing may be kept, whatever the answer.
+        const auto outcome = commit ? code : std::string("ABORTED");
+        told_of(item + 'y', number, outcome);
+        told_of(item, number, outcome);
+        if (socket_)
+            pause_.start(milliseconds(random(longest_pause_ms)));
+    });
+}
+
+} // namespace soak
--- /dev/null
+++ b/soak/caller.h
@@ -0,0 +1,98 @@
+// A caller that works through its sessions at random and keeps account of what it was told.
+
+#pragma once
+
+#include "inner/timer.h"
+#include "ledger.h"
+#include "platform/line_codec.h"
+#include "support/address.h"
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+struct event_base;
+struct bufferevent;
+
+namespace soak {
+
+/// Where callers reach a process, and whether a cut session there breaks a promise.
+struct entry_point
+{
+    baobabport::support::address at;
+    /// Returns true while the process is stopping as planned with nothing else wrong anywhere.
+    std::function<bool()> stops_as_planned;
+    /// Returns true if an instance has run the statement.
+    std::function<bool(const std::string &id)> has_run;
+};
+
+/**
+ * One session at a time, to any process. Ends with its own items and its own tag as a session value.
+ */
+class caller
+{
+public:
+    caller(event_base *base, ledger &book, const std::vector<entry_point> &entries, std::string name,
+           std::string service, std::uint64_t seed);
+    ~caller();
+    caller(const caller &) = delete;
+    caller &operator=(const caller &) = delete;
+
+    /// Ends after the present operation.
+    void stop() { stopping_ = true; }
+
+    /// Begins to count anew.
+    void forget_served() { served_ = 0; }
+
+    /// Returns how many operations were served.
+    [[nodiscard]] std::uint64_t served() const { return served_; }
+
+private:
+    struct statement
+    {
+        std::string text;
+        std::function<void(const std::string &code, const std::string &row)> done;
+    };
+
+    void connect();
+    void close(bool by_peer);
+    void read_lines();
+    void next();
+    void ask(const std::string &text, std::function<void(const std::string &, const std::string &)> done);
+    void write();
+    void write_prepared();
+    void read_item(const std::string &item);
+    void transaction();
+    void finish_transaction(std::uint64_t number, bool commit);
+    void told_of(const std::string &item, std::uint64_t number, const std::string &code);
+    void fresh_items();
+    [[nodiscard]] time_point floor_time() const;
+    std::uint64_t random(std::uint64_t below) { return random_() % below; }
+
+    event_base *base_;
+    ledger &book_;
+    const std::vector<entry_point> &entries_;
+    std::string name_;
+    std::string service_;
+    std::mt19937_64 random_;
+    baobabport::inner::timer pause_;
+    baobabport::inner::timer give_up_;
+    bufferevent *socket_ = nullptr;
+    baobabport::platform::line_reader reader_;
+    std::size_t entry_ = 0;
+    std::string route_; ///< `main`, `own` or `old`, followed by the service
+    std::string code_;  ///< of the answer that comes: empty, or an error's
+    std::string row_;
+    std::function<void(const std::string &, const std::string &)> waiting_;
+    std::uint64_t statements_ = 0;
+    std::string last_id_;
+    time_point sent_at_;           ///< of the last statement
+    std::uint64_t generation_ = 0; ///< of the items: new ones after a write in doubt
+    std::uint64_t own_floor_ = 0;
+    bool prepared_ = false;
+    bool stopping_ = false;
+    std::uint64_t served_ = 0;
+};
+
+} // namespace soak
--- /dev/null
+++ b/soak/ledger.cpp
@@ -0,0 +1,90 @@
+#include "ledger.h"
+
+#include <cstdlib>
+
+namespace soak {
+
+std::uint64_t ledger::sent(const std::string &item)
+{
+    auto &writes = items_[item];
+    const auto number = writes.empty() ? 1 : writes.rbegin()->first + 1;
+    writes[number] = {};
+    return number;
+}
+
+void ledger::answered(const std::string &item, std::uint64_t number, told what, time_point now)
+{
+    auto &it = items_[item][number];
+    it.what = what;
+    it.at = now;
+    acknowledged_ += what == told::kept ? 1 : 0;
+}
+
+void ledger::paired(const std::string &one, const std::string &other, std::uint64_t number)
+{
+    items_[one][number].partner = other;
+    items_[other][number].partner = one;
+}
+
+std::uint64_t ledger::owed(const std::string &item, time_point until) const
+{
+    const auto known = items_.find(item);
+    if (known == items_.end())
+        return 0;
+    for (auto it = known->second.rbegin(); it != known->second.rend(); ++it) {
+        if (it->second.what == told::kept && it->second.at <= until)
+            return it->first;
+    }
+    return 0;
+}
+
+void ledger::read(const std::string &item, const std::string &value, std::uint64_t least,
+                  const std::string &who)
+{
+    ++reads_;
+    const auto number = std::strtoull(value.c_str(), nullptr, 10); // "none": 0
+    if (number < least)
+        breach(who + " read " + value + " of " + item + ", owed " + std::to_string(least));
+    const auto &writes = items_[item];
+    const auto it = writes.find(number);
+    if (number > 0 && it == writes.end())
+        breach(who + " read " + value + " of " + item + ", which nobody wrote");
+    else if (number > 0 && it->second.what == told::refused)
+        breach(who + " read " + value + " of " + item + ", which was refused");
+}
+
+void ledger::check(const std::string &service, const std::vector<standin::log_entry> &log)
+{
+    std::map<std::string, std::map<std::uint64_t, int>> found;
+    for (const auto &entry : log) {
+        for (const auto &[item, value] : entry.items) {
+            const auto number = std::strtoull(value.c_str(), nullptr, 10);
+            ++found[item][number];
+            const auto &partner = items_[item][number].partner;
+            const auto other = entry.items.find(partner);
+            if (!partner.empty() && (other == entry.items.end() || other->second != value))
+                breach("half of a transaction is in the log: " + item + ' ' + value);
+        }
+    }
+    for (const auto &[item, writes] : items_) {
+        if (service_of(item) != service)
+            continue;
+        for (const auto &[number, it] : writes) {
+            const int times = found[item][number];
+            const auto text = item + ' ' + std::to_string(number);
+            if (times > 1)
+                breach("a write took effect " + std::to_string(times) + " times: " + text);
+            if (times == 0 && it.what == told::kept)
+                breach("an acknowledged write is missing: " + text);
+            if (times > 0 && it.what == told::refused)
+                breach("a refused write took effect: " + text);
+        }
+    }
+}
+
+void ledger::breach(const std::string &text)
+{
+    breaches_.push_back(text);
+}
+
+} // namespace soak
--- /dev/null
+++ b/soak/ledger.h
@@ -0,0 +1,70 @@
+// What callers sent and were told, checked against what they read and against the instances' logs.
+
+#pragma once
+
+#include "line_group.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace soak {
+
+using time_point = std::chrono::steady_clock::time_point;
+
+enum class told : std::uint8_t
+{
+    nothing, ///< in doubt, or no answer
+    kept,
+    refused, ///< promised that nothing is kept
+};
+
+/**
+ * Each item has one writer, and its values are rising numbers: what a read may return follows from what
+ * was acknowledged.
+ */
+class ledger
+{
+public:
+    /// Returns the number to write next to the item.
+    std::uint64_t sent(const std::string &item);
+    void answered(const std::string &item, std::uint64_t number, told what, time_point now);
+
+    /// Notes that two items were written by one transaction.
+    void paired(const std::string &one, const std::string &other, std::uint64_t number);
+
+    /// Returns the newest number that was acknowledged until then.
+    [[nodiscard]] std::uint64_t owed(const std::string &item, time_point until) const;
+
+    /// Checks what a read returned, begun when `least` was owed. Values that are none count as 0.
+    void read(const std::string &item, const std::string &value, std::uint64_t least, const std::string &who);
+
+    /// Checks the log of a group's primary: acknowledged writes stand in it once, refused ones never.
+    void check(const std::string &service, const std::vector<standin::log_entry> &log);
+
+    void breach(const std::string &text);
+    [[nodiscard]] const std::vector<std::string> &breaches() const { return breaches_; }
+    [[nodiscard]] std::uint64_t acknowledged() const { return acknowledged_; }
+    [[nodiscard]] std::uint64_t reads() const { return reads_; }
+
+    /// Items begin with this and their service's name.
+    static std::string service_of(const std::string &item) { return item.substr(0, item.find(':')); }
+
+private:
+    struct write
+    {
+        told what = told::nothing;
+        time_point at;
+        std::string partner; ///< the other item of its transaction
+    };
+
+    std::map<std::string, std::map<std::uint64_t, write>> items_;
+    std::vector<std::string> breaches_;
+    std::uint64_t acknowledged_ = 0;
+    std::uint64_t reads_ = 0;
+};
+
+} // namespace soak
--- /dev/null
+++ b/soak/relay.h
@@ -0,0 +1,60 @@
+// A loopback relay that harms the connections through it.
+
+#pragma once
+
+#include "inner/timer.h"
+#include "support/address.h"
+#include "support/socket_options.h"
+
+#include <chrono>
+#include <list>
+#include <memory>
+
+struct event_base;
+struct bufferevent;
+
+namespace soak {
+
+/// What a relay does to its connections, old and new.
+struct relay_faults
+{
+    bool refuses = false;               ///< new connections are reset at once
+    bool silent_to_target = false;      ///< bytes of the caller are dropped
+    bool silent_to_caller = false;      ///< bytes of the target are dropped
+    std::chrono::milliseconds delay{0}; ///< of each piece of bytes
+};
+
+/**
+ * Listens at one address and passes everything on to another.
+ */
+class relay
+{
+public:
+    relay(event_base *base, const baobabport::support::address &at, baobabport::support::address to);
+    ~relay();
+    relay(const relay &) = delete;
+    relay &operator=(const relay &) = delete;
+
+    [[nodiscard]] const baobabport::support::address &at() const { return at_; }
+
+    /// Resets all connections.
+    void reset();
+
+    relay_faults faults;
+
+private:
+    struct pair;
+    struct side;
+
+    void accept(int socket);
+    void pass(pair &it, bool to_target);
+    void end(pair &it);
+
+    event_base *base_;
+    baobabport::support::address at_;
+    baobabport::support::address to_;
+    std::list<std::unique_ptr<pair>> pairs_;
+    baobabport::support::listener listener_;
+};
+
+} // namespace soak
--- /dev/null
+++ b/soak/soak_main.cpp
@@ -0,0 +1,82 @@
+// Plays seeds of random faults against real processes.
+
+#include "soak_site.h"
+
+#include <csignal>
+#include <docopt/docopt.h>
+#include <filesystem>
+#include <iostream>
+
+namespace {
+
+constexpr const char *usage =
+    R"(Plays seeds of random faults against real processes and checks what callers see.
+
+Usage:
+  baobabport-soak --program FILE [--folder DIR] [--first N] [--seeds N] [--processes N] [--callers N] [--seconds N] [--verbose]
+  baobabport-soak (-h | --help)
+
+Options:
+  --program FILE  The proxy to run.
+  --folder DIR    For settings and logs; those of a seed without a finding are removed [default: build/soak].
+  --first N       The first seed [default: 1].
+  --seeds N       How many seeds [default: 1].
+  --processes N   Processes of a seed [default: 4].
+  --callers N     Sessions at a time [default: 12].
+  --seconds N     Time with faults in each seed [default: 12].
+  --verbose       Show what happened in each seed.
+  -h --help       Show this text.
+
+Exit status: 0 nothing was broken, 1 something was, 2 bad usage.
+)";
+
+/// Plays a seed, shows what came of it, and returns whether something was broken.
+bool play(const soak::soak_options &options, bool verbose)
+{
+    std::filesystem::remove_all(options.folder);
+    soak::soak_site site(options);
+    const auto &breaches = site.run();
+    std::cout << "seed " << options.seed << ": " << site.book().acknowledged() << " writes acknowledged, "
+              << site.book().reads() << " reads, " << breaches.size() << " broken" << std::endl;
+    if (!breaches.empty() || verbose) {
+        for (const auto &it : site.events())
+            std::cout << "  " << it << '\n';
+    }
+    for (const auto &it : breaches)
+        std::cout << "  BROKEN " << it << '\n';
+    return !breaches.empty();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    auto args = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    const auto number = [&args](const char *name) { return std::stoul(args[name].asString()); };
+    std::signal(SIGPIPE, SIG_IGN);
+    for (const int it : {SIGTERM, SIGINT})
+        std::signal(it, [](int) { soak::interrupted = true; });
+    std::size_t broken = 0;
+    const auto first = number("--first");
+    const auto seeds = number("--seeds");
+    for (auto seed = first; seed < first + seeds; ++seed) {
+        soak::soak_options options;
+        options.seed = seed;
+        options.processes = number("--processes");
+        options.callers = number("--callers");
+        options.faults_for = std::chrono::seconds(number("--seconds"));
+        options.program = std::filesystem::absolute(args["--program"].asString());
+        options.folder = args["--folder"].asString() + "/seed-" + std::to_string(seed);
+        try {
+            const bool found = play(options, args["--verbose"].asBool());
+            broken += found ? 1 : 0;
+            if (!found)
+                std::filesystem::remove_all(options.folder);
+        } catch (const std::runtime_error &ec) {
+            std::cerr << "seed " << seed << ": " << ec.what() << '\n';
+            return 2;
+        }
+    }
+    std::cout << "soak: " << broken << " of " << seeds << " seeds with something broken" << std::endl;
+    return broken == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/soak/soak_site.cpp
@@ -0,0 +1,333 @@
+#include "soak_site.h"
+
+#include "support/free_address.h"
+
+#include <csignal>
+#include <event2/event.h>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+namespace soak {
+
+using namespace baobabport;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+std::atomic<bool> interrupted{false};
+
+namespace {
+
+/// Rules with a time bound hold for what has been undisturbed this long, as on the users' machines.
+constexpr milliseconds contact{4000};
+constexpr milliseconds configuration_bound{3000};
+constexpr milliseconds drain_bound{4000};
+constexpr milliseconds shutdown_time{4000};
+/// All is back this long after the last fault; the bound of the users' sites.
+constexpr milliseconds recovery_bound{12000};
+constexpr milliseconds ask_interval{400};
+const std::vector<std::string> services = {"db0", "db1"};
+
+json route(const std::string &database, const std::string &kind, const std::string &service)
+{
+    json out{{"name", "r-" + database},   {"database", database}, {"type", kind},      {"timeout_ms", 1500},
+             {"target_latency_ms", 1000}, {"priority", 1},        {"backend", service}};
+    if (kind != "primary")
+        out["max_staleness_ms"] = 2500;
+    return out;
+}
+
+} // namespace
+
+soak_site::soak_site(const soak_options &options)
+    : options_(options), random_(options.seed), base_(event_base_new()),
+      began_(std::chrono::steady_clock::now())
+{
+    std::filesystem::create_directories(options_.folder);
+    store_ = std::make_unique<standin::kv_service>(
+        base_, testing::free_address(), [this](const auto &service, const auto &id, auto) {
+            const auto group = groups_.find(service);
+            const bool taken = group != groups_.end() && group->second->promote(id);
+            note("order to promote " + id + (taken ? "" : ", not running"));
+            return taken ? 200 : 409;
+        });
+    make_groups();
+    configure();
+    make_machines();
+    for (std::size_t n = 0; n < options_.callers; ++n)
+        callers_.push_back(std::make_unique<caller>(base_, book_, entries_, "s" + std::to_string(n),
+                                                    services[n % services.size()], random_()));
+}
+
+soak_site::~soak_site() = default;
+
+void soak_site::make_groups()
+{
+    for (const auto &service : services) {
+        const std::vector<std::string> ids = {service + "-a", service + "-b", service + "-c"};
+        auto &group = groups_[service] = std::make_unique<standin::line_group>(base_, service, ids);
+        group->traits.slots = 2;
+        group->traits.work = milliseconds(2);
+        group->traits.lag = milliseconds(20);
+        group->traits.promote = milliseconds(200);
+        group->traits.max_connections = 40;
+        for (const auto &id : ids) {
+            auto it = std::make_unique<member>();
+            it->group = group.get();
+            it->id = id;
+            it->way = std::make_unique<relay>(base_, testing::free_address(), group->at(id).address());
+            register_member(*it);
+            members_.push_back(std::move(it));
+        }
+    }
+}
+
+void soak_site::register_member(member &it)
+{
+    const auto &instance = it.group->at(it.id);
+    const json record{{"backend", it.group->service()},
+                      {"address", it.way->at().text()},
+                      {"zone", "erie"},
+                      {"version", "1"},
+                      {"slots", 2},
+                      {"state", it.draining_since ? "draining" : "ready"},
+                      {"cold_remaining_ms", 0},
+                      {"sequence", 1},
+                      {"born", it.started},
+                      {"db_role", instance.primary ? "primary" : "replica"}};
+    store_->put("servers/" + it.id, record.dump());
+}
+
+void soak_site::configure()
+{
+    json routes = json::array();
+    json backends = json::array();
+    for (const auto &it : services) {
+        routes.push_back(route("main" + it, "primary", it));
+        routes.push_back(route("own" + it, "read_your_writes", it));
+        routes.push_back(route("old" + it, "bounded", it));
+        backends.push_back({{"name", it}, {"max_connections", 40}, {"sync_replicas", 0}});
+    }
+    version_ += 1 + random(3);
+    version_at_ = std::chrono::steady_clock::now();
+    const json state{{"version", version_},
+                     {"routes", routes},
+                     {"backends", backends},
+                     {"limits", {{"tx_idle_ms", 1000}}}};
+    store_->put("op/config", state.dump());
+}
+
+void soak_site::make_machines()
+{
+    for (std::size_t n = 0; n < options_.processes; ++n) {
+        auto it = std::make_unique<machine>();
+        it->name = "front-" + std::to_string(n + 1);
+        it->settings = options_.folder + '/' + it->name + ".json";
+        it->callers = testing::free_address();
+        it->admin = testing::free_address();
+        it->store = std::make_unique<relay>(base_, testing::free_address(), store_->address());
+        std::ofstream(it->settings) << json{{"process", it->name},
+                                            {"data_centre", "erie"},
+                                            {"callers", it->callers.text()},
+                                            {"probe", testing::free_address().text()},
+                                            {"admin", it->admin.text()},
+                                            {"peers", testing::free_address().text()},
+                                            {"store", it->store->at().text()},
+                                            {"promotion_orders", it->store->at().text()},
+                                            {"shutdown_s", std::to_string(shutdown_time.count() / 1000)},
+                                            {"configuration_bound_ms",
+                                             std::to_string(configuration_bound.count())},
+                                            {"drain_bound_ms", std::to_string(drain_bound.count())}}
+                                           .dump(2);
+        machine *const raw = it.get();
+        entries_.push_back({it->callers, [this, raw] { return raw->stopping && calm(); },
+                            [this](const auto &id) {
+                                watch_statements();
+                                return ran_.count(id) > 0;
+                            }});
+        start(*it);
+        machines_.push_back(std::move(it));
+    }
+}
+
+void soak_site::start(machine &it)
+{
+    it.process =
+        std::make_unique<child_process>(std::vector<std::string>{options_.program, "--settings", it.settings},
+                                        options_.folder + '/' + it.name + ".log");
+    it.stopping = false;
+    it.frozen = false;
+    it.newest_seen = 0;
+    it.started_at = std::chrono::steady_clock::now();
+    note(it.name + " started");
+}
+
+void soak_site::stop(machine &it, int signal)
+{
+    if (it.frozen)
+        it.process->send(SIGCONT);
+    it.frozen = false;
+    it.stopping = true;
+    it.kill_at = std::chrono::steady_clock::now() + shutdown_time + milliseconds(500);
+    it.process->send(signal);
+}
+
+bool soak_site::run_until(const std::function<bool()> &condition, milliseconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    inner::timer wake(base_, [this] { tick(); });
+    wake.repeat(milliseconds(20));
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+        event_base_loop(base_, EVLOOP_ONCE);
+        if (interrupted)
+            throw std::runtime_error("interrupted");
+    }
+    return condition();
+}
+
+void soak_site::run_for(milliseconds time)
+{
+    run_until([] { return false; }, time);
+}
+
+const std::vector<std::string> &soak_site::run()
+{
+    run_for(milliseconds(2500)); // all know each other
+    faults_on_ = true;
+    run_for(options_.faults_for);
+    faults_on_ = false;
+    heal();
+    check_recovery();
+    for (auto &it : callers_)
+        it->stop();
+    run_for(milliseconds(500));
+    for (const auto &[service, group] : groups_) {
+        const standin::line_instance *newest = nullptr;
+        for (const auto &id : group->ids()) {
+            const auto &it = group->at(id);
+            if (it.primary && (!newest || it.term > newest->term))
+                newest = &it;
+        }
+        newest ? book_.check(service, newest->log) : book_.breach(service + " has no primary at the end");
+    }
+    return book_.breaches();
+}
+
+void soak_site::tick()
+{
+    const auto now = std::chrono::steady_clock::now();
+    watch_machines();
+    watch_statements();
+    if (now >= next_ask_at_) {
+        next_ask_at_ = now + ask_interval;
+        ask_states();
+    }
+    if (faults_on_ && now >= next_fault_at_) {
+        constexpr std::uint64_t longest_pause_ms = 900;
+        next_fault_at_ = now + milliseconds(100 + random(longest_pause_ms));
+        next_fault();
+    }
+}
+
+void soak_site::watch_machines()
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (auto &it : machines_) {
+        if (it->process->alive()) {
+            if (it->stopping && now > it->kill_at) {
+                if (calm())
+                    book_.breach(it->name + " did not end in its time after SIGTERM");
+                it->process->send(SIGKILL);
+            }
+            continue;
+        }
+        if (!it->stopping)
+            book_.breach(it->name + " ended by itself: " + it->process->end());
+        note(it->name + " ended: " + it->process->end());
+        start(*it);
+    }
+}
+
+void soak_site::watch_statements()
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (auto &[service, group] : groups_) {
+        for (const auto &it : std::exchange(group->ran, {})) {
+            ran_.insert(it.id);
+            const auto who = it.id.substr(0, it.id.find('-'));
+            const auto tag = it.values.find("tag");
+            if (tag == it.values.end() || tag->second != who)
+                book_.breach("statement " + it.id + " ran with the values of another session");
+            for (const auto &known : members_) {
+                const bool late = known->id == it.instance && known->draining_since && !it.in_transaction &&
+                                  now > *known->draining_since + drain_bound + milliseconds(100);
+                if (late && calm())
+                    book_.breach("statement " + it.id + " reached " + it.instance + " long after it left");
+            }
+        }
+    }
+}
+
+void soak_site::ask_states()
+{
+    for (auto &it : machines_) {
+        if (it->frozen || it->stopping || !it->process->alive())
+            continue;
+        it->asked = std::make_unique<http::http_client>(base_, it->admin);
+        it->asked->send({http::method_kind::get, "/v1/state", {}, {}, milliseconds(1000)},
+                        [this, raw = it.get(), incarnation = it->started_at,
+                         asked_at = std::chrono::steady_clock::now()](const auto &answer) {
+                            const auto state = json::parse(answer.body, nullptr, false);
+                            if (answer.status != 200 || !state.is_object() || raw->started_at != incarnation)
+                                return;
+                            const auto seen = state.value("desired_state_version", std::uint64_t{0});
+                            if (seen < raw->newest_seen)
+                                book_.breach(raw->name + " went back to version " + std::to_string(seen));
+                            raw->newest_seen = seen;
+                            const bool due = asked_at - version_at_ > configuration_bound &&
+                                             asked_at - raw->started_at > contact;
+                            if (due && calm() && seen != version_)
+                                book_.breach(raw->name + " has version " + std::to_string(seen) + ", not " +
+                                             std::to_string(version_));
+                        });
+    }
+}
+
+bool soak_site::calm() const
+{
+    return disturbances_ == 0 && std::chrono::steady_clock::now() - disturbed_until_ > contact;
+}
+
+void soak_site::note(const std::string &text)
+{
+    const auto at = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - began_);
+    events_.push_back(std::to_string(at.count()) + " ms: " + text);
+}
+
+void soak_site::heal()
+{
+    note("all faults end");
+    for (auto &it : std::exchange(open_ends_, {})) {
+        if (it)
+            it();
+    }
+}
+
+void soak_site::check_recovery()
+{
+    const auto served_by_all = [this] {
+        std::size_t served = 0;
+        for (const auto &it : callers_)
+            served += it->served() > 0 ? 1 : 0;
+        return served == callers_.size();
+    };
+    for (auto &it : callers_)
+        it->forget_served();
+    if (!run_until(served_by_all, recovery_bound))
+        book_.breach("not every caller is served " + std::to_string(recovery_bound.count()) +
+                     " ms after the last fault");
+}
+
+} // namespace soak
--- /dev/null
+++ b/soak/soak_site.h
@@ -0,0 +1,136 @@
+// One seed: processes, stand-ins, callers and the faults between them.
+
+#pragma once
+
+#include "caller.h"
+#include "child_process.h"
+#include "http/http_client.h"
+#include "kv_service.h"
+#include "ledger.h"
+#include "line_group.h"
+#include "relay.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+struct event_base;
+
+namespace soak {
+
+struct soak_options
+{
+    std::uint64_t seed = 1;
+    std::size_t processes = 4;
+    std::size_t callers = 12;
+    std::chrono::milliseconds faults_for{12000};
+    std::string program; ///< the proxy
+    std::string folder;  ///< for settings and logs
+};
+
+/// Set to end a seed early, with its processes.
+extern std::atomic<bool> interrupted;
+
+/**
+ * Plays one seed. Faults come in overlapping series; every third seed has planned work only, so that the
+ * stricter promises around it are checked, too.
+ */
+class soak_site
+{
+public:
+    explicit soak_site(const soak_options &options);
+    ~soak_site();
+    soak_site(const soak_site &) = delete;
+    soak_site &operator=(const soak_site &) = delete;
+
+    /// Plays the seed to its end and returns what was broken.
+    const std::vector<std::string> &run();
+
+    [[nodiscard]] const ledger &book() const { return book_; }
+    [[nodiscard]] const std::vector<std::string> &events() const { return events_; }
+
+private:
+    struct machine
+    {
+        std::string name;
+        std::string settings;
+        baobabport::support::address callers;
+        baobabport::support::address admin;
+        std::unique_ptr<relay> store; ///< its way to the store
+        std::unique_ptr<child_process> process;
+        bool stopping = false; ///< SIGTERM was sent
+        bool frozen = false;
+        time_point started_at;
+        time_point kill_at;            ///< a stopping process must have ended by then
+        std::uint64_t newest_seen = 0; ///< version of the desired state, in this incarnation
+        std::unique_ptr<baobabport::http::http_client> asked;
+    };
+    struct member
+    {
+        standin::line_group *group = nullptr;
+        std::string id;
+        std::unique_ptr<relay> way;
+        std::optional<time_point> draining_since;
+        std::uint64_t started = 1;
+    };
+    using action = std::function<void()>;
+
+    void make_machines();
+    void make_groups();
+    void register_member(member &it);
+    void configure();
+    void start(machine &it);
+    void stop(machine &it, int signal);
+    void run_for(std::chrono::milliseconds time);
+    bool run_until(const std::function<bool()> &condition, std::chrono::milliseconds limit);
+    void tick();
+    void watch_machines();
+    void watch_statements();
+    void ask_states();
+    void next_fault();
+    void planned_fault();
+    void machine_fault();
+    void store_fault();
+    void instance_fault();
+    void for_a_while(const std::string &what, const action &begin, const action &end);
+    void note(const std::string &text);
+    void heal();
+    void check_recovery();
+    [[nodiscard]] bool calm() const;
+    std::uint64_t random(std::uint64_t below) { return random_() % below; }
+    template <typename T>
+    T &any(std::vector<std::unique_ptr<T>> &of)
+    {
+        return *of[random(of.size())];
+    }
+
+    soak_options options_;
+    std::mt19937_64 random_;
+    event_base *base_;
+    ledger book_;
+    std::vector<std::string> events_;
+    time_point began_;
+    std::unique_ptr<standin::kv_service> store_;
+    std::map<std::string, std::unique_ptr<standin::line_group>> groups_;
+    std::vector<std::unique_ptr<member>> members_;
+    std::vector<std::unique_ptr<machine>> machines_;
+    std::vector<entry_point> entries_;
+    std::vector<std::unique_ptr<caller>> callers_;
+    std::vector<std::unique_ptr<baobabport::inner::timer>> timers_;
+    std::vector<action> open_ends_; ///< of faults, so that all can be ended early
+    std::set<std::string> ran_;     ///< ids of the statements that instances ran
+    std::uint64_t version_ = 0;
+    time_point version_at_;
+    time_point disturbed_until_; ///< the last unplanned fault, or its end
+    std::size_t disturbances_ = 0;
+    bool faults_on_ = false;
+    time_point next_fault_at_;
+    time_point next_ask_at_;
+};
+
+} // namespace soak
--- a/standins/line_group.cpp
+++ b/standins/line_group.cpp
@@ -1,6 +1,7 @@
 #include "line_group.h"
 
 #include "platform/line_codec.h"
+#include "support/socket_options.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -8,6 +9,8 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <sstream>
+#include <stdexcept>
+#include <unistd.h>
 #include <utility>
 
 namespace standin {
@@ -131,21 +134,29 @@
 
 void line_instance::listen()
 {
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    at.sin_port = htons(port_);
+    auto at = baobabport::support::to_sockaddr(address());
     const auto accepted = [](evconnlistener * /*listener*/, evutil_socket_t socket, sockaddr * /*from*/,
                              int /*length*/,
                              void *self) { static_cast<line_instance *>(self)->accept(socket); };
     constexpr int backlog = 64;
     listener_ = evconnlistener_new_bind(base_, accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
                                         backlog, reinterpret_cast<const sockaddr *>(&at), sizeof(at));
+    if (!listener_)
+        throw std::runtime_error("cannot listen on " + address().text());
     socklen_t length = sizeof(at);
     getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr *>(&at), &length);
     port_ = ntohs(at.sin_port);
 }
 
+baobabport::support::address line_instance::address() const
+{
+    // An address that no outgoing connection begins at, so that the port is free after a crash.
+    constexpr int bits = 7;
+    constexpr int mask = (1 << bits) - 1;
+    const int pid = getpid();
+    return {"127.8." + std::to_string((pid >> bits) & mask) + '.' + std::to_string(1 + (pid & mask)), port_};
+}
+
 line_instance::~line_instance()
 {
     crash();
--- a/standins/line_group.h
+++ b/standins/line_group.h
@@ -102,7 +102,7 @@
     line_instance &operator=(const line_instance &) = delete;
 
     [[nodiscard]] const std::string &id() const { return id_; }
-    [[nodiscard]] baobabport::support::address address() const { return {"127.0.0.1", port_}; }
+    [[nodiscard]] baobabport::support::address address() const;
 
     /// Stops listening and cuts all connections.
     void crash();
