Only a refused connection means that a primary takes none

A connection to the primary that was reset after a short silence counted as "takes no connections"; that lets a promotion go on beside a replica that cannot be paused, and this replica went on confirming the old primary's writes for other processes. Ruled out: the leases (all had ended), the stand-in's log (the new primary's had never held the writes). Change: only a refused attempt to connect, or another instance at the address, counts; a cut or slow connection counts as silence. The stand-in's replicas pass over commits of an older term.

--- a/soak/child_process.cpp
+++ b/soak/child_process.cpp
@@ -14,6 +14,7 @@
 child_process::child_process(const std::vector<std::string> &command, const std::string &output)
 {
     std::vector<char *> words;
+    words.reserve(command.size() + 1);
     for (const auto &it : command)
         words.push_back(const_cast<char *>(it.c_str()));
     words.push_back(nullptr);
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -71,7 +71,8 @@
             continue;
         for (const auto &[number, it] : writes) {
             const int times = found[item][number];
-            const auto text = item + ' ' + std::to_string(number);
+            auto text = item;
+            text.append(" ").append(std::to_string(number));
             if (times > 1)
                 breach("a write took effect " + std::to_string(times) + " times: " + text);
             if (times == 0 && it.what == told::kept)
--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -80,15 +80,18 @@
             it.unanswered_since.reset();
             it.answered_at = clock_type::now();
             it.refuses = false;
+            it.failing = false;
         });
     };
-    evidence.failed = [with_member, id = record.id](const std::string &reason) {
-        with_member([&id, &reason](member &it) {
-            if (!it.refuses)
+    evidence.failed = [with_member, id = record.id](const std::string &reason, bool absent) {
+        with_member([&id, &reason, absent](member &it) {
+            if (!it.failing)
                 support::log_warning("instance_connection_failed", {{"instance", id}, {"reason", reason}});
             if (!it.unanswered_since)
                 it.unanswered_since = clock_type::now();
-            it.refuses = true;
+            it.failing = true;
+            // The last attempt counts: a connection that was cut says nothing of new ones.
+            it.refuses = absent;
             it.distrusted_until = clock_type::now() + distrust_time;
         });
     };
--- a/src/proxy/group_task.h
+++ b/src/proxy/group_task.h
@@ -159,7 +159,8 @@
         time_point probe_sent;
         std::uint32_t under_way = 0;
         bool probing = false;
-        bool refuses = false;
+        bool refuses = false; ///< nothing listens at its address
+        bool failing = false; ///< since its last answer; reported once
     };
     struct waiting_confirmation
     {
--- a/src/proxy/instance_pool.cpp
+++ b/src/proxy/instance_pool.cpp
@@ -119,7 +119,8 @@
     else
         evidence_.failed(refusal ? "refused with " + std::string(platform::code_word(refusal->code)) + ' ' +
                                        refusal->text
-                                 : "connection lost");
+                                 : "connection lost",
+                         kept->is_absent());
     if (all_.empty())
         refuse_waiting(no_connection::unreachable);
 }
@@ -206,7 +207,7 @@
     it->abandon();
     all_.erase(slow);
     retry_at_ = now + retry_after_failure;
-    evidence_.failed("opening a connection timed out");
+    evidence_.failed("opening a connection timed out", false);
     if (all_.empty())
         refuse_waiting(no_connection::unreachable);
 }
--- a/src/proxy/instance_pool.h
+++ b/src/proxy/instance_pool.h
@@ -54,7 +54,8 @@
     {
         std::function<void()> asked;
         std::function<void()> answered;
-        std::function<void(const std::string &reason)> failed;
+        /// `absent`: the instance is not at its address; otherwise a connection ended or did not open.
+        std::function<void(const std::string &reason, bool absent)> failed;
     };
 
     instance_pool(event_base *base, upstream_target target, std::uint32_t limit, evidence_hooks evidence);
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -3,9 +3,11 @@
 #include "support/json_log.h"
 #include "support/socket_options.h"
 
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/util.h>
 #include <netinet/in.h>
 #include <variant>
 
@@ -76,6 +78,8 @@
 void upstream_connection::on_event(bufferevent * /*socket*/, short what, void *self)
 {
     const auto me = static_cast<upstream_connection *>(self)->shared_from_this();
+    if ((what & BEV_EVENT_ERROR) && !me->was_open_ && EVUTIL_SOCKET_ERROR() == ECONNREFUSED)
+        me->no_listener_ = true;
     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
         me->end(me->refusal_);
 }
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -70,6 +70,12 @@
 
     [[nodiscard]] bool is_open() const { return open_; }
     [[nodiscard]] bool was_open() const { return was_open_; }
+
+    /// Returns true if nothing listens at the address, or another instance does.
+    [[nodiscard]] bool is_absent() const
+    {
+        return no_listener_ || (refusal_ && refusal_->code == session::answer_code::moved);
+    }
     [[nodiscard]] bool is_closed() const { return socket_ == nullptr; }
     [[nodiscard]] std::size_t unanswered() const { return waiting_.size(); }
 
@@ -113,6 +119,7 @@
     std::optional<session::failure> refusal_;
     bool open_ = false;
     bool was_open_ = false;
+    bool no_listener_ = false;
     session::transaction_state state_ = session::transaction_state::none;
     time_point created_at_ = support::boot_clock::now();
 };
--- a/standins/line_group.cpp
+++ b/standins/line_group.cpp
@@ -118,7 +118,8 @@
     by.apply(by.log.size());
     for (const auto &it : instances_) {
         auto &other = *it.second;
-        if (&other == &by || other.primary || other.deaf || other.paused_at != 0 || other.crashed())
+        if (&other == &by || other.primary || other.deaf || other.paused_at != 0 || other.crashed() ||
+            other.term > by.term)
             continue;
         other.receive(by.log);
         other.term = by.term;
@@ -171,6 +172,14 @@
     connections_.clear();
 }
 
+void line_instance::reset_connections()
+{
+    jobs_.clear();
+    for (const auto &it : connections_)
+        baobabport::support::discard_on_close(bufferevent_getfd(it.second->socket));
+    connections_.clear();
+}
+
 void line_instance::restart(bool as_primary)
 {
     if (!crashed())
--- a/standins/line_group.h
+++ b/standins/line_group.h
@@ -108,6 +108,9 @@
     void crash();
     [[nodiscard]] bool crashed() const { return listener_ == nullptr; }
 
+    /// Cuts all connections and goes on listening.
+    void reset_connections();
+
     /// Comes back at its address with its log; as a replica if another instance leads by now.
     void restart(bool as_primary);
 
--- a/tests/proxy/test_proxy_load.cpp
+++ b/tests/proxy/test_proxy_load.cpp
@@ -144,3 +144,22 @@
         CHECK(std::count_if(log.begin(), log.end(),
                             [&it](const auto &entry) { return entry.items.at("x") == it; }) == 1);
 }
+
+TEST_CASE("a primary whose connections are cut is no primary that takes none")
+{
+    // Found by the soak (seed 23): it was replaced beside a replica that had not been paused.
+    proxy_site site;
+    site.group.traits.promote = milliseconds(200);
+    const auto caller = site.session("main");
+    CHECK(is_success(site.ask(*caller, "WRITE x 1")));
+    site.group.at("c").mute = true;
+    site.group.at("a").mute = true;
+    site.run_for(milliseconds(500));
+    site.group.at("a").reset_connections();
+    site.run_for(milliseconds(900)); // still silent, but it takes connections
+    CHECK(site.promoted.empty());
+    site.group.at("a").mute = false;
+    site.group.at("c").mute = false;
+    const auto again = site.session("main");
+    CHECK(site.run_until([&] { return is_success(site.ask(*again, "WRITE x 2")); }));
+}
