--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -63,7 +63,7 @@
             const auto &partner = items_[item][number].partner;
             const auto other = entry.items.find(partner);
             if (!partner.empty() && (other == entry.items.end() || other->second != value))
-                breach("half of a transaction is in the log: " + item + ' ' + value);
+                breach(std::string("half of a transaction is in the log: ").append(item));
         }
     }
     for (const auto &[item, writes] : items_) {
