A leaving replica is asked last

Ruled out: the handover of the duty (taken 20 ms after it was given back), the homes. Change: the order of replicas puts those that get no work last.

--- a/soak/soak_faults.cpp
+++ b/soak/soak_faults.cpp
@@ -184,7 +184,8 @@
             [&it, &instance] {
                 bool led_since = false;
                 for (const auto &id : it.group->ids())
-                    led_since = led_since || (id != it.id && it.group->at(id).primary);
+                    led_since =
+                        led_since || (it.group->at(id).primary && it.group->at(id).term > instance.term);
                 instance.restart(!led_since && instance.primary);
             });
     case 1:
--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -2,6 +2,7 @@
 
 #include "soak_site.h"
 
+#include <algorithm>
 #include <csignal>
 #include <docopt/docopt.h>
 #include <filesystem>
@@ -42,8 +43,9 @@
         for (const auto &it : site.events())
             std::cout << "  " << it << '\n';
     }
-    for (const auto &it : breaches)
-        std::cout << "  BROKEN " << it << '\n';
+    constexpr std::size_t shown = 8; // of one seed: the first tell most
+    for (std::size_t n = 0; n < std::min(shown, breaches.size()); ++n)
+        std::cout << "  BROKEN " << breaches[n] << '\n';
     return !breaches.empty();
 }
 
--- a/src/proxy/group_task_questions.cpp
+++ b/src/proxy/group_task_questions.cpp
@@ -1,5 +1,6 @@
 // The questions that a group's task asks its instances.
 
+#include "directory/instance_directory.h"
 #include "proxy/group_task.h"
 #include "support/boot_clock.h"
 #include "support/json_log.h"
@@ -125,8 +126,10 @@
     }
     const auto cost = [this, now](const std::string &id) {
         const auto &it = members_.at(id);
+        const bool leaving = !directory::instance_directory::takes_work(it.record, now);
         return (it.record.data_centre == identity_.data_centre ? 0 : 1) +
-               (now < it.distrusted_until || !it.pool->reachable(now) ? 4 : 0);
+               (now < it.distrusted_until || !it.pool->reachable(now) ? 4 : 0) +
+               (leaving ? 8 : 0); // its home passes questions over, too
     };
     std::stable_sort(out.begin(), out.end(),
                      [&cost](const auto &a, const auto &b) { return cost(a) < cost(b); });
--- a/standins/kv_service.cpp
+++ b/standins/kv_service.cpp
@@ -56,10 +56,26 @@
 
 void kv_service::end_leases()
 {
-    leases_.clear();
+    while (!leases_.empty())
+        end_lease(leases_.begin()->first);
+}
+
+void kv_service::open_lease(const request &asked, const responder &answer)
+{
+    const auto number = ++last_lease_;
+    auto &it = leases_[number];
+    it.time = std::chrono::milliseconds(json::parse(asked.body).at("ttl_ms").get<std::int64_t>());
+    it.end = std::make_unique<inner::timer>(base_, [this, number] { end_lease(number); });
+    it.end->start(it.time);
+    reply(answer, 200, {{"lease_id", number}, {"ttl_ms", it.time.count()}});
+}
+
+void kv_service::end_lease(std::uint64_t number)
+{
+    leases_.erase(number);
     std::vector<std::string> ended;
     for (const auto &it : items_) {
-        if (it.second.lease != 0)
+        if (it.second.lease == number)
             ended.push_back(it.first);
     }
     for (const auto &it : ended)
@@ -125,14 +141,15 @@
         return watch(asked, answer);
     if (path == "/api/kv-txn")
         return change(asked, answer);
-    if (path == "/api/kv-lease") {
-        leases_[++last_lease_] = true;
-        return reply(answer, 200,
-                     {{"lease_id", last_lease_}, {"ttl_ms", json::parse(asked.body).at("ttl_ms")}});
-    }
-    if (path.starts_with("/api/kv-keep/")) {
-        const auto lease = std::stoull(path.substr(std::string("/api/kv-keep/").size()));
-        return reply(answer, leases_.count(lease) ? 200 : 404, {{"ttl_ms", 1000}});
+    if (path == "/api/kv-lease")
+        return open_lease(asked, answer);
+    const std::string renewal = "/api/kv-keep/";
+    if (path.starts_with(renewal)) {
+        const auto it = leases_.find(std::stoull(path.substr(renewal.size())));
+        if (it == leases_.end())
+            return reply(answer, 404, json::object());
+        it->second.end->start(it->second.time);
+        return reply(answer, 200, {{"ttl_ms", it->second.time.count()}});
     }
     reply(answer, 404, json::object());
 }
@@ -185,6 +202,11 @@
     }
     if (!holds)
         return reply(answer, 412, {{"items", state}});
+    for (const auto &it : body.at("writes")) {
+        const auto lease = it.value("lease_id", std::uint64_t{0});
+        if (lease != 0 && !leases_.count(lease))
+            return reply(answer, 404, json::object());
+    }
     ++revision_;
     for (const auto &it : body.at("writes")) {
         const auto key = it.at("key").get<std::string>();
--- a/standins/kv_service.h
+++ b/standins/kv_service.h
@@ -83,6 +83,8 @@
     void watch(const request &asked, const responder &answer);
     void change(const request &asked, const responder &answer);
     void promote(const request &asked, const responder &answer);
+    void open_lease(const request &asked, const responder &answer);
+    void end_lease(std::uint64_t number);
     void note(const std::string &key);
     void wake();
     [[nodiscard]] std::string events(const std::string &prefix, std::uint64_t after, bool &any) const;
@@ -98,7 +100,12 @@
     std::list<std::unique_ptr<baobabport::inner::timer>> delayed_;
     std::uint64_t revision_ = 100;
     std::uint64_t last_lease_ = 0;
-    std::map<std::uint64_t, bool> leases_;
+    struct lease
+    {
+        std::chrono::milliseconds time{0};
+        std::unique_ptr<baobabport::inner::timer> end;
+    };
+    std::map<std::uint64_t, lease> leases_;
     baobabport::http::http_server server_;
 };
 
--- a/standins/line_group.cpp
+++ b/standins/line_group.cpp
@@ -65,7 +65,7 @@
 
 line_group::line_group(event_base *base, std::string service, const std::vector<std::string> &instances)
     : base_(base), service_(std::move(service)),
-      promotion_(base, [this] { lead(std::exchange(ordered_, {})); })
+      promotion_(base, [this] { lead(std::exchange(ordered_, {})); }), yield_(base, [this] { yield(); })
 {
     for (const auto &it : instances)
         instances_[it] = std::make_unique<line_instance>(base_, *this, it);
@@ -109,6 +109,16 @@
     chosen.term = term_;
     chosen.paused_at = 0;
     chosen.apply(chosen.log.size());
+    yield_.start(traits.yield);
+}
+
+void line_group::yield()
+{
+    for (const auto &it : instances_) {
+        auto &other = *it.second;
+        if (other.primary && other.term < term_ && !other.deaf)
+            other.primary = false;
+    }
 }
 
 position line_group::commit(line_instance &by, std::map<std::string, std::string> items)
--- a/standins/line_group.h
+++ b/standins/line_group.h
@@ -47,11 +47,12 @@
 struct line_group_traits
 {
     std::uint32_t max_connections = 16;
-    std::uint32_t slots = 0;              ///< statements that run at the same time; 0: any number, at once
-    std::uint32_t queue = 8;              ///< statements that wait for a slot; more are refused as busy
-    std::chrono::milliseconds work{0};    ///< time that a statement has its slot
-    std::chrono::milliseconds lag{0};     ///< a replica applies what it has received so much later
-    std::chrono::milliseconds promote{0}; ///< from the order to the lead
+    std::uint32_t slots = 0;               ///< statements that run at the same time; 0: any number, at once
+    std::uint32_t queue = 8;               ///< statements that wait for a slot; more are refused as busy
+    std::chrono::milliseconds work{0};     ///< time that a statement has its slot
+    std::chrono::milliseconds lag{0};      ///< a replica applies what it has received so much later
+    std::chrono::milliseconds yield{1000}; ///< a former primary gives way so long after another leads
+    std::chrono::milliseconds promote{0};  ///< from the order to the lead
 };
 
 /**
@@ -81,6 +82,7 @@
 
 private:
     void lead(const std::string &id);
+    void yield();
 
     event_base *base_;
     std::string service_;
@@ -88,6 +90,7 @@
     std::uint64_t term_ = 1;
     std::string ordered_; ///< the instance whose promotion is under way
     baobabport::inner::timer promotion_;
+    baobabport::inner::timer yield_;
 };
 
 /**
--- a/tests/proxy/test_proxy.cpp
+++ b/tests/proxy/test_proxy.cpp
@@ -394,8 +394,7 @@
     baobabport::proxy::proxy_task other(site.base, settings, [] {});
     site.run_for(std::chrono::milliseconds(1500));
     const auto first = site.store->value("baobabport/failover/holder");
-    site.proxy.reset();
-    site.store->end_leases();
+    site.proxy.reset(); // its lease ends by itself
     CHECK(site.run_until([&] {
         return site.store->has("baobabport/failover/holder") &&
                site.store->value("baobabport/failover/holder") != first;
--- a/tests/proxy/test_proxy_load.cpp
+++ b/tests/proxy/test_proxy_load.cpp
@@ -163,3 +163,19 @@
     const auto again = site.session("main");
     CHECK(site.run_until([&] { return is_success(site.ask(*again, "WRITE x 2")); }));
 }
+
+TEST_CASE("a process that gave the duty back confirms its writes by a replica that stays")
+{
+    // Found by the soak (seed 132): it asked a leaving replica again and again.
+    proxy_site site;
+    const auto settings = site.settings_of("front-2");
+    baobabport::proxy::proxy_task other(site.base, settings, [] {});
+    const auto caller = site.session("main");
+    CHECK(is_success(site.ask(*caller, "WRITE x 1")));
+    site.register_instance("b", "draining");
+    site.run_for(milliseconds(2500)); // it gets no more work
+    site.proxy->drain();
+    site.run_for(milliseconds(800)); // its last lease ends
+    for (int n = 0; n < 3; ++n)
+        CHECK(is_success(site.ask(*caller, "WRITE x 2")));
+}
--- a/tests/support/proxy_site.cpp
+++ b/tests/support/proxy_site.cpp
@@ -94,6 +94,7 @@
     out.store = settings_.store;
     out.promotion_orders = settings_.promotion_orders;
     out.shutdown_time = std::chrono::milliseconds(4000);
+    out.drain_bound = std::chrono::milliseconds(2000);
     return out;
 }
 
