Transaction numbers of a home differ from those of its last process

A home counted transactions from 1 at each start; after its restart a session's old number named a new transaction of the same VM's other session, at an instance of another service. Ruled out: the store and the route table (the work went to the transaction's pool, not to a routed one). Change: numbers begin at random, and the transaction's instance must be the one asked for.

--- a/src/proxy/instance_access.cpp
+++ b/src/proxy/instance_access.cpp
@@ -2,8 +2,10 @@
 
 #include "support/boot_clock.h"
 #include "support/json_log.h"
+#include "support/keys.h"
 
 #include <algorithm>
+#include <cstring>
 #include <utility>
 #include <vector>
 
@@ -107,7 +109,8 @@
         return;
     }
     const auto known = state_->transactions.find(request_.transaction);
-    if (known == state_->transactions.end() || known->second.owner != owner_ || known->second.running)
+    if (known == state_->transactions.end() || known->second.owner != owner_ || known->second.running ||
+        known->second.pool->target().instance != request_.instance)
         not_run("the transaction is not open here");
     else
         run_within(known->second);
@@ -321,6 +324,15 @@
     }
 }
 
+std::uint64_t instance_access::random_start()
+{
+    std::uint64_t out = 0;
+    const auto bytes = support::random_bytes(sizeof(out));
+    std::memcpy(&out, bytes.data(), sizeof(out));
+    constexpr std::uint64_t room = std::uint64_t{1} << 62; // to count up in
+    return out % room + 1;
+}
+
 bool instance_access::busy() const
 {
     return !state_->transactions.empty() ||
--- a/src/proxy/instance_access.h
+++ b/src/proxy/instance_access.h
@@ -45,6 +45,9 @@
     /// Returns true while a statement runs or waits here, or a transaction is open.
     [[nodiscard]] bool busy() const;
 
+    /// Returns the number of the last transaction that was begun here.
+    [[nodiscard]] std::uint64_t last_transaction() const { return state_->last_transaction; }
+
     [[nodiscard]] std::size_t open_transactions() const { return state_->transactions.size(); }
 
 private:
@@ -61,12 +64,14 @@
     struct shared_state
     {
         std::map<std::uint64_t, pinned> transactions;
-        std::uint64_t last_transaction = 0;
+        /// Begins at random: an entry may ask for a transaction of this VM's last process.
+        std::uint64_t last_transaction = random_start();
         std::map<std::string, admission::slot_scheduler> schedulers; ///< by instance
         std::map<std::uint64_t, std::shared_ptr<work>> waiting;      ///< for a slot, by key
         std::uint64_t last_key = 0;
     };
 
+    static std::uint64_t random_start();
     static void start_waiting(shared_state &state, admission::slot_scheduler &scheduler, time_point now);
     void end_unused(time_point now, std::chrono::milliseconds limit);
 
--- a/tests/proxy/test_proxy.cpp
+++ b/tests/proxy/test_proxy.cpp
@@ -400,3 +400,15 @@
                site.store->value("baobabport/failover/holder") != first;
     }));
 }
+
+TEST_CASE("a restarted home takes no transaction of its last process for one of its own")
+{
+    // Found by a hunt: both counted from one, so that an entry's old number named a new transaction.
+    const auto none = [](const auto &, const auto &) { return nullptr; };
+    const baobabport::proxy::instance_access before(none);
+    const baobabport::proxy::instance_access after(none);
+    constexpr std::uint64_t transactions_of_a_day = 1000000000;
+    const auto apart = std::max(before.last_transaction(), after.last_transaction()) -
+                       std::min(before.last_transaction(), after.last_transaction());
+    CHECK(apart > transactions_of_a_day);
+}
