A repeated first statement leaves no transaction behind

Cause: an instance that refuses the first statement of a transaction as busy keeps the transaction open; the entry repeated the statement at another instance with the old number and never ended the old transaction. Ruled out: a restart between begin and statement (both processes had started before). Change: a repeat ends the transaction of the last attempt and takes no number along. The stand-in keeps a transaction open after BUSY.

--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -325,6 +325,14 @@
     return std::min(deadline_, std::max(by_target, at_least));
 }
 
+void statement_run::drop_transaction()
+{
+    if (!within_ || within_->id == 0)
+        return;
+    executor_->end_transaction(within_->vm, within_->id);
+    within_->id = 0;
+}
+
 void statement_run::retry(std::chrono::milliseconds delay)
 {
     stage_ = stage::waiting;
@@ -336,6 +344,7 @@
         refuse("no instance took the statement");
         return;
     }
+    drop_transaction(); // it belongs to the instance and home of the last attempt
     if (attempts_ > 0)
         wait_limit_ = deadline_; // for a primary or a floor; slots have a limit of their own
     retry_timer_ = std::make_unique<inner::timer>(base_, [self = shared_from_this()] {
@@ -380,9 +389,7 @@
     if (!may_have_run)
         return refuse("no instance took the statement in its time");
     if (within_ && !is_commit()) {
-        if (within_->id != 0) // it is still running there; ending its transaction rolls it back
-            executor_->end_transaction(within_->vm, within_->id);
-        within_->id = 0;
+        drop_transaction(); // it is still running there; ending its transaction rolls it back
         return fail(answer_code::aborted, "the statement took longer than its route allows");
     }
     fail(changes_data() ? answer_code::in_doubt : answer_code::timed_out,
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -123,6 +123,7 @@
     void confirm(time_point since);
     [[nodiscard]] time_point slot_wait_until(time_point now) const;
     void retry(std::chrono::milliseconds delay);
+    void drop_transaction();
     void refuse(const std::string &reason);
     void fail(session::answer_code code, std::string text);
     void finish();
--- a/standins/line_group.cpp
+++ b/standins/line_group.cpp
@@ -224,6 +224,12 @@
     (*it)->start(group_.traits.lag);
 }
 
+std::size_t line_instance::open_transactions() const
+{
+    return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
+                                                  [](const auto &it) { return it.second->state != 'I'; }));
+}
+
 void line_instance::accept(int socket)
 {
     auto it = std::make_unique<connection>();
@@ -415,7 +421,7 @@
 
 void line_instance::fail(connection &to, const std::string &code)
 {
-    if (to.state == 'T')
+    if (to.state == 'T' && code != "BUSY") // which has not run
         to.state = 'E';
     answer(to, "ERROR " + code + ' ' + id_ + "\r\nREADY " + to.state + ' ' + text_of(applied()) + "\r\n");
 }
--- a/standins/line_group.h
+++ b/standins/line_group.h
@@ -122,6 +122,7 @@
 
     /// Takes over a log, to be applied after the lag.
     void receive(const std::vector<log_entry> &from);
+    [[nodiscard]] std::size_t open_transactions() const;
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
     [[nodiscard]] baobabport::consistency::position received() const
     {
--- a/tests/proxy/test_proxy_load.cpp
+++ b/tests/proxy/test_proxy_load.cpp
@@ -179,3 +179,20 @@
     for (int n = 0; n < 3; ++n)
         CHECK(is_success(site.ask(*caller, "WRITE x 2")));
 }
+
+TEST_CASE("a first statement that is repeated elsewhere leaves no transaction behind")
+{
+    proxy_site site;
+    const auto caller = site.session("old");
+    CHECK(is_success(site.ask(*caller, "READ x")));
+    for (const auto *const id : {"a", "b", "c"})
+        site.group.at(id).fail_next_with = "BUSY";
+    site.ask(*caller, "BEGIN READ");
+    CHECK(is_success(site.ask(*caller, "READ x")));
+    CHECK(is_success(site.ask(*caller, "COMMIT")));
+    site.run_for(milliseconds(100));
+    std::size_t left = 0;
+    for (const auto &id : site.group.ids())
+        left += site.group.at(id).open_transactions();
+    CHECK(left == 0);
+}
