A 409 does not void an earlier promotion order without an answer

Cause: the platform answers 409 both for an instance that is not running and for an order that arrives too late. The switchover took either for "not running", forgot that an earlier order might still take effect, and ordered the promotion of the next replica at once: two primaries could follow.

Change: while an earlier order may take effect, the candidate is replaced only once it is gone (its address refuses connections, or it is no longer listed). Otherwise the order is repeated until the candidate reports its role.

The new test failed before ("promote b" in the first step after the 409) and passes now, with the other tests of the switchover.

--- a/src/failover/switchover.cpp
+++ b/src/failover/switchover.cpp
@@ -15,6 +15,13 @@
     return it == group.members.end() ? nullptr : &*it;
 }
 
+/// Returns true if the instance does not run: it refuses connections, or is no longer listed.
+bool is_gone(const group_snapshot &group, const std::string &id)
+{
+    const auto *const member = find(group, id);
+    return !member || member->refuses;
+}
+
 bool is_primary_above(const member_view &it, std::uint64_t above_term)
 {
     return it.report && it.report->role == instance_role::primary && it.report->term > above_term;
@@ -91,6 +98,7 @@
     paused_.clear();
     absent_candidates_.clear();
     candidate_.clear();
+    candidate_reported_absent_ = false;
     order_may_take_effect_ = false;
     enter(phase::pausing, now);
 }
@@ -160,6 +168,11 @@
 {
     if (order_in_flight_)
         return {};
+    if (candidate_reported_absent_ && is_gone(group, candidate_)) {
+        replace_absent_candidate(now);
+        if (phase_ != phase::promoting)
+            return {};
+    }
     if (now - entered_at_ >= promotion_limit && may_abandon(group))
         return abandon_replacement("the platform accepted no promotion order", now);
     if (const auto *const candidate = find(group, candidate_);
@@ -194,14 +207,23 @@
     if (result == promotion_result::accepted) {
         enter(phase::awaiting_primary, now);
     } else if (result == promotion_result::absent) {
-        absent_candidates_.push_back(candidate_);
-        order_may_take_effect_ = false; // an instance that is not running is not the primary
-        candidate_ = most_advanced();
-        if (candidate_.empty())
-            enter(phase::pausing, now); // abandons the replacement unless another replica answers
+        // The same answer is given to an order that arrives too late, which says nothing about earlier ones.
+        candidate_reported_absent_ = true;
+        if (!order_may_take_effect_)
+            replace_absent_candidate(now);
     }
 }
 
+void switchover::replace_absent_candidate(time_point now)
+{
+    absent_candidates_.push_back(candidate_);
+    candidate_reported_absent_ = false;
+    order_may_take_effect_ = false; // an instance that is not running is not the primary
+    candidate_ = most_advanced();
+    // Without a candidate the replacement is abandoned, unless another replica answers.
+    enter(candidate_.empty() ? phase::pausing : phase::promoting, now);
+}
+
 std::vector<action> switchover::step_awaiting_primary(const group_snapshot &group, time_point now)
 {
     const auto *const candidate = find(group, candidate_);
--- a/src/failover/switchover.h
+++ b/src/failover/switchover.h
@@ -127,6 +127,7 @@
     std::vector<action> abandon_replacement(std::string_view reason, time_point now);
     bool should_replace(const group_snapshot &group, time_point now);
     void begin(const group_snapshot &group, time_point now);
+    void replace_absent_candidate(time_point now);
     void enter(phase next, time_point now);
     bool repeat_due(time_point now);
     [[nodiscard]] bool enough_paused(const group_snapshot &group, time_point now) const;
@@ -146,7 +147,8 @@
     std::map<std::string, replication::member_report> paused_; ///< at `pause_term_`
     std::vector<std::string> absent_candidates_;               ///< their orders were answered by `absent`
     std::string candidate_;
-    bool order_in_flight_ = false; ///< the platform has not answered the order yet
+    bool candidate_reported_absent_ = false; ///< by the platform, in answer to an order
+    bool order_in_flight_ = false;           ///< the platform has not answered the order yet
     /// The candidate may be the primary, now or later. Meanwhile no lease on the former primary is granted,
     /// and no replica is resumed.
     bool order_may_take_effect_ = false;
--- a/tests/failover/test_switchover.cpp
+++ b/tests/failover/test_switchover.cpp
@@ -302,3 +302,40 @@
     it.record_promotion_result(promotion_result::refused, after(milliseconds(40)));
     CHECK(it.step(group, after(milliseconds(50))).empty());
 }
+
+// Guards against two primaries: an order whose answer was lost may still take effect, whatever a later order
+// is answered.
+TEST_CASE("an answer that the instance is absent does not void an earlier order without an answer")
+{
+    switchover it;
+    auto group = unresponsive_primary(switchover::unresponsive_limit);
+    pause_both(it, pause_term(it.step(group, start)));
+    REQUIRE(has(it.step(group, after(milliseconds(10))), action_kind::promote, "c"));
+    it.record_promotion_result(promotion_result::uncertain, after(milliseconds(400)));
+    REQUIRE(has(it.step(group, after(milliseconds(500))), action_kind::promote, "c"));
+    it.record_promotion_result(promotion_result::absent, after(milliseconds(510)));
+    for (auto time = milliseconds(520); time < 3 * switchover::promotion_limit; time += milliseconds(100)) {
+        group.members[2].unresponsive_for = time; // the candidate cannot be reached from here
+        const auto actions = it.step(group, after(time));
+        REQUIRE_FALSE(has(actions, action_kind::promote, "b"));
+        REQUIRE_FALSE(has(actions, action_kind::resume, "b"));
+        if (has(actions, action_kind::promote, "c"))
+            it.record_promotion_result(promotion_result::absent, after(time));
+    }
+    SECTION("its address refuses connections: it is not running, and returns as a replica of the next one")
+    {
+        group.members[2].refuses = true;
+        CHECK(has(it.step(group, after(4 * switchover::promotion_limit)), action_kind::promote, "b"));
+    }
+    SECTION("the platform lists it no more")
+    {
+        group.members.pop_back();
+        CHECK(has(it.step(group, after(4 * switchover::promotion_limit)), action_kind::promote, "b"));
+    }
+    SECTION("it answers as a replica: the first order had no effect")
+    {
+        group.members[2].unresponsive_for = milliseconds(0);
+        const auto late = after(5 * switchover::promotion_limit);
+        CHECK(has(it.step(group, late), action_kind::resume, "b"));
+    }
+}
