Labels above the bound get the shared estimate

Cause: labels above 512 added to one shared estimate, but expected() looked up the label itself and returned the default of 2 ms.

The new test failed before (2,000 us for statements of 40 ms) and passes now.

--- a/src/admission/duration_estimator.cpp
+++ b/src/admission/duration_estimator.cpp
@@ -7,11 +7,9 @@
 
 namespace {
 
-constexpr std::size_t max_labels = 512;
 constexpr std::uint64_t trusted_samples = 8;
 constexpr double gain = 0.125;
 constexpr double deviation_gain = 0.25;
-constexpr std::chrono::microseconds unknown_label_time{2000};
 const std::string shared_label = "*";
 
 } // namespace
@@ -47,7 +45,9 @@
 
 std::chrono::microseconds duration_estimator::expected(const std::string &label) const
 {
-    const auto it = labels_.find(label);
+    auto it = labels_.find(label);
+    if (it == labels_.end())
+        it = labels_.find(shared_label);
     if (it == labels_.end() || !it->second.known)
         return unknown_label_time;
     return std::chrono::microseconds(static_cast<std::int64_t>(it->second.mean));
--- a/src/admission/duration_estimator.h
+++ b/src/admission/duration_estimator.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -18,6 +19,11 @@
 class duration_estimator
 {
 public:
+    /// Labels with an estimate of their own.
+    static constexpr std::size_t max_labels = 512;
+    /// The estimate for a label without a sample.
+    static constexpr std::chrono::microseconds unknown_label_time{2000};
+
     /// Adds the duration of a finished statement.
     void finished(const std::string &label, std::chrono::microseconds took);
 
