The refusal of an expired statement names the wait of its own priority

Cause: tick() asked the scheduler for the wait of priority 0.

The new test failed before (2 ms named, with 40 statements of priority 1 ahead of one of priority 2) and passes now.

--- a/src/proxy/local_executor.cpp
+++ b/src/proxy/local_executor.cpp
@@ -33,6 +33,7 @@
     void schedule(const std::shared_ptr<instance_pool> &pool);
     void run();
     void refuse_overloaded(std::chrono::microseconds expected_wait);
+    [[nodiscard]] std::uint32_t priority() const { return request_.priority; }
 
     void not_run(std::string reason);
 
@@ -324,7 +325,7 @@
                 continue;
             const auto late = it->second;
             state_->waiting.erase(it);
-            late->refuse_overloaded(scheduler.expected_wait(0, now));
+            late->refuse_overloaded(scheduler.expected_wait(late->priority(), now));
         }
     }
 }
