An answer that was not confirmed in time does not name a replacement

Cause: a confirmation that expired was reported like one that found a later primary: "the primary was replaced while the write was acknowledged".

--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -310,16 +310,19 @@
             self->finish();
             return;
         }
+        const bool replaced = result == confirmation_result::superseded;
+        const auto *const reason =
+            replaced ? "the primary was replaced" : "the primary could not be confirmed in time";
         if (self->changes_data())
-            self->fail(answer_code::in_doubt, "the primary was replaced while the write was acknowledged");
+            self->fail(answer_code::in_doubt, reason);
         else if (self->transaction_)
-            self->fail(answer_code::aborted, "the primary was replaced during the transaction");
-        else if (result == confirmation_result::superseded) {
+            self->fail(answer_code::aborted, reason);
+        else if (replaced) {
             self->result_ = {};
             self->stage_ = stage::waiting;
             self->retry(std::chrono::milliseconds(0));
         } else
-            self->fail(answer_code::timed_out, "the primary could not be confirmed in time");
+            self->fail(answer_code::timed_out, reason);
     });
 }
 
