The test of an invalid command keeps its flag until the connection has ended

Cause: the group's connection calls the command's hook when the group goes, after the scope of the flag that the hook writes (found by make sanitize). The checks are as they were.

--- a/tests/proxy/test_instance_pool.cpp
+++ b/tests/proxy/test_instance_pool.cpp
@@ -137,6 +137,7 @@
 TEST_CASE("a command that is no longer valid when its connection opens is not sent")
 {
     auto *const base = event_base_new();
+    bool done = false; // the connection reports its end after the group has gone
     {
         stalled_listener instance;
         proxy::statement_executor none;
@@ -147,7 +148,6 @@
         record.at = instance.at();
         group.set_members({record}, 4);
         bool valid = true;
-        bool done = false;
         const auto command = [&] {
             done = false;
             group.command(
