--- a/src/consistency/session_token.cpp
+++ b/src/consistency/session_token.cpp
@@ -2,7 +2,9 @@
 
 #include "support/keys.h"
 
+#include "support/cbor.h"
 #include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 namespace baobabport::consistency {
@@ -16,7 +18,7 @@
 std::optional<session_token> from_cbor(const std::string &payload)
 {
     try {
-        const auto fields = json::from_cbor(payload);
+        const auto fields = support::from_cbor(payload);
         session_token out(fields.at("id").get<std::string>());
         for (const auto &it : fields.at("floors")) {
             const auto database = it.at(0).get<std::string>();
--- a/src/directory/instance_directory.cpp
+++ b/src/directory/instance_directory.cpp
@@ -43,6 +43,7 @@
         available_since_ = now;
     unavailable_at_.reset();
     last_listed_at_ = now;
+    digest_.reset();
 
     std::erase_if(removed_,
                   [now](const auto &it) { return now - it.second.removed_at >= removed_record_retention; });
@@ -96,13 +97,16 @@
 
 std::uint64_t instance_directory::digest() const
 {
+    if (digest_)
+        return *digest_;
     std::string text;
     for (const auto &[id, it] : records_) {
         text += id + ' ' + it.service + ' ' + it.data_centre + ' ' + it.at.text() + ' ' +
                 std::to_string(static_cast<int>(it.state)) + ' ' + std::to_string(it.slots) + ' ' +
                 std::to_string(it.started_at.count()) + '\n';
     }
-    return XXH3_64bits(text.data(), text.size());
+    digest_ = XXH3_64bits(text.data(), text.size());
+    return *digest_;
 }
 
 const instance_record *instance_directory::find(const std::string &id) const
--- a/src/directory/instance_directory.h
+++ b/src/directory/instance_directory.h
@@ -101,6 +101,7 @@
     std::chrono::milliseconds draining_acceptance_time_;
     std::map<std::string, instance_record> records_;
     std::map<std::string, removed_record> removed_; ///< by id; no id is also in `records_`
+    mutable std::optional<std::uint64_t> digest_;   ///< of `records_`; none: not computed since they changed
     time_point last_listed_at_;
     std::optional<time_point>
         unavailable_at_;         ///< the last failed listing, unless the store has answered since
--- a/src/failover/leadership_takeover.h
+++ b/src/failover/leadership_takeover.h
@@ -61,6 +61,9 @@
     /// order of another leader.
     [[nodiscard]] bool may_promote(time_point now) const;
 
+    /// Returns true while only a process that the earlier leader has answered can prove that it stopped.
+    [[nodiscard]] bool needs_witness() const { return !stop_known_; }
+
     /// Returns the remaining waiting times as text for the log.
     [[nodiscard]] std::string summary(time_point now) const;
 
--- a/src/failover/membership_tracker.cpp
+++ b/src/failover/membership_tracker.cpp
@@ -1,6 +1,7 @@
 #include "failover/membership_tracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace baobabport::failover {
 
@@ -8,17 +9,44 @@
 {
     members_.clear();
     for (const auto &it : members)
-        members_.try_emplace(it.address, known_member{it, now, false, std::nullopt, milliseconds(0)});
+        members_.try_emplace(it.address, known_member{it, now, false, std::nullopt, milliseconds(0), 0, {}});
 }
 
 void membership_tracker::record_request(const inner::member &from, milliseconds store_unanswered_for,
                                         std::optional<time_point> answer_sent_at, time_point now)
 {
-    members_[from.address] = {from, now, true, answer_sent_at, store_unanswered_for};
+    auto &known = members_[from.address];
+    known.member = from;
+    known.last_received_at = now;
+    known.answered = true;
+    known.answer_sent_at = answer_sent_at;
+    known.store_unanswered_for = store_unanswered_for;
     std::erase_if(members_,
                   [now](const auto &it) { return now - it.second.last_received_at > member_retention; });
 }
 
+void membership_tracker::record_followers(const std::string &relay, std::uint64_t version,
+                                          std::vector<inner::member> followers)
+{
+    const auto it = members_.find(relay);
+    if (it == members_.end())
+        return;
+    it->second.followers_version = version;
+    it->second.followers = std::move(followers);
+}
+
+std::uint64_t membership_tracker::followers_version(const std::string &relay) const
+{
+    const auto it = members_.find(relay);
+    return it == members_.end() ? 0 : it->second.followers_version;
+}
+
+bool membership_tracker::was_answered(const std::string &address) const
+{
+    const auto it = members_.find(address);
+    return it != members_.end() && it->second.answered;
+}
+
 void membership_tracker::remove_member(const std::string &address)
 {
     members_.erase(address);
@@ -26,11 +54,17 @@
 
 const std::vector<inner::member> &membership_tracker::list(time_point now, std::uint64_t &version)
 {
-    std::vector<inner::member> recent;
-    for (const auto &it : members_) {
-        if (now - it.second.last_received_at <= list_retention)
-            recent.push_back(it.second.member);
+    std::map<std::string, inner::member> by_address;
+    for (const auto &[address, it] : members_) {
+        if (now - it.last_received_at > list_retention)
+            continue;
+        by_address[address] = it.member;
+        for (const auto &follower : it.followers)
+            by_address.try_emplace(follower.address, follower);
     }
+    std::vector<inner::member> recent;
+    for (auto &it : by_address)
+        recent.push_back(std::move(it.second));
     if (recent != list_) {
         list_ = std::move(recent);
         // Derived from the clock, so that the lists of two leaders never have the same version.
--- a/src/failover/membership_tracker.h
+++ b/src/failover/membership_tracker.h
@@ -45,10 +45,23 @@
     void record_request(const inner::member &from, milliseconds store_unanswered_for,
                         std::optional<time_point> answer_sent_at, time_point now);
 
+    /// Records the processes that the process at `relay` answers on the leader's behalf. They are listed
+    /// while the relay's own requests arrive; their agreement is not needed, since the leader does not answer
+    /// them.
+    void record_followers(const std::string &relay, std::uint64_t version,
+                          std::vector<inner::member> followers);
+
+    /// Returns the version of the followers recorded for the relay, or 0.
+    [[nodiscard]] std::uint64_t followers_version(const std::string &relay) const;
+
+    /// Returns true if the process at the address was answered during this leadership.
+    [[nodiscard]] bool was_answered(const std::string &address) const;
+
     /// Removes the process at the address, which is shutting down and will not become leader.
     void remove_member(const std::string &address);
 
-    /// Returns the processes that sent a request recently; `version` rises with each change of the list.
+    /// Returns the processes that sent a request recently, to the leader or to a relay, in order of their
+    /// addresses; `version` rises with each change of the list.
     const std::vector<inner::member> &list(time_point now, std::uint64_t &version);
 
     /// Returns true if every process that was answered agrees, and there is at least one or there are no
@@ -67,6 +80,8 @@
         bool answered = false; ///< during this leadership
         std::optional<time_point> answer_sent_at;
         milliseconds store_unanswered_for{0};
+        std::uint64_t followers_version = 0;
+        std::vector<inner::member> followers; ///< if it is a relay
     };
 
     std::map<std::string, known_member> members_; ///< by address
--- a/src/inner/execute_messages.cpp
+++ b/src/inner/execute_messages.cpp
@@ -1,5 +1,7 @@
 #include "inner/execute_messages.h"
 
+#include "support/cbor.h"
+
 #include <nlohmann/json.hpp>
 
 namespace baobabport::inner {
@@ -11,18 +13,6 @@
 
 // Messages are encoded as CBOR arrays, since field names would make up most of their bytes.
 
-std::string to_bytes(const json &message)
-{
-    std::string out;
-    json::to_cbor(message, out);
-    return out;
-}
-
-json from_bytes(std::string_view bytes)
-{
-    return json::from_cbor(bytes.begin(), bytes.end());
-}
-
 json position_fields(const std::optional<consistency::position> &at)
 {
     return at ? json{at->term, at->offset} : json(nullptr);
@@ -47,15 +37,6 @@
     return session::prepared_statement{fields.at(0).get<bool>(), fields.at(1).get<std::string>()};
 }
 
-template <typename Enum>
-Enum read_enum(const json &field, Enum last)
-{
-    const auto value = field.get<std::uint8_t>();
-    if (value > static_cast<std::uint8_t>(last))
-        throw json::other_error::create(501, "unknown value", nullptr); // NOLINT: as any decoding error
-    return static_cast<Enum>(value);
-}
-
 json error_fields(const std::optional<session::failure> &error)
 {
     return error ? json{static_cast<std::uint8_t>(error->code), error->text} : json(nullptr);
@@ -65,23 +46,10 @@
 {
     if (fields.is_null())
         return std::nullopt;
-    return session::failure{read_enum(fields.at(0), session::answer_code::no_database),
+    return session::failure{support::enum_of(fields.at(0), session::answer_code::no_database),
                             fields.at(1).get<std::string>()};
 }
 
-template <typename Message, typename Read>
-std::optional<Message> decode(std::string_view bytes, const Read &read)
-{
-    try {
-        const auto fields = from_bytes(bytes);
-        Message out;
-        read(fields, out);
-        return out;
-    } catch (const json::exception &) {
-        return std::nullopt; // the caller reports unreadable messages
-    }
-}
-
 } // namespace
 
 std::string encode(const execute_request &message)
@@ -91,7 +59,7 @@
         values.push_back(name);
         values.push_back(value);
     }
-    return to_bytes(
+    return support::to_cbor(
         json::array({message.service, message.instance, message.priority, message.time_left.count(),
                      message.wait_left.count(), values, prepared_fields(message.prepared),
                      static_cast<std::uint8_t>(message.begin), position_fields(message.floor),
@@ -100,7 +68,7 @@
 
 std::string encode(const execute_answer &message)
 {
-    return to_bytes(
+    return support::to_cbor(
         json::array({static_cast<std::uint8_t>(message.outcome), message.reason, message.answer.rows,
                      message.answer.receipt, error_fields(message.answer.error),
                      static_cast<std::uint8_t>(message.answer.end.state),
@@ -109,12 +77,12 @@
 
 std::string encode(const rollback_request &message)
 {
-    return to_bytes(json::array({message.transaction}));
+    return support::to_cbor(json::array({message.transaction}));
 }
 
 std::optional<execute_request> decode_execute_request(std::string_view bytes)
 {
-    return decode<execute_request>(bytes, [](const json &fields, execute_request &out) {
+    return support::decode_cbor<execute_request>(bytes, [](const json &fields, execute_request &out) {
         out.service = fields.at(0).get<std::string>();
         out.instance = fields.at(1).get<std::string>();
         out.priority = fields.at(2).get<std::uint32_t>();
@@ -124,7 +92,7 @@
         for (std::size_t n = 0; n + 1 < values.size(); n += 2)
             out.values[values.at(n).get<std::string>()] = values.at(n + 1).get<std::string>();
         out.prepared = read_prepared(fields.at(6));
-        out.begin = read_enum(fields.at(7), begin_mode::read_only);
+        out.begin = support::enum_of(fields.at(7), begin_mode::read_only);
         out.floor = read_position(fields.at(8));
         out.transaction = fields.at(9).get<std::uint64_t>();
         out.id = fields.at(10).get<std::string>();
@@ -135,13 +103,13 @@
 
 std::optional<execute_answer> decode_execute_answer(std::string_view bytes)
 {
-    return decode<execute_answer>(bytes, [](const json &fields, execute_answer &out) {
-        out.outcome = read_enum(fields.at(0), execute_outcome::lost);
+    return support::decode_cbor<execute_answer>(bytes, [](const json &fields, execute_answer &out) {
+        out.outcome = support::enum_of(fields.at(0), execute_outcome::lost);
         out.reason = fields.at(1).get<std::string>();
         out.answer.rows = fields.at(2).get<std::vector<std::string>>();
         out.answer.receipt = fields.at(3).get<std::string>();
         out.answer.error = read_error(fields.at(4));
-        out.answer.end.state = read_enum(fields.at(5), session::transaction_state::failed);
+        out.answer.end.state = support::enum_of(fields.at(5), session::transaction_state::failed);
         out.answer.end.log = read_position(fields.at(6));
         out.transaction = fields.at(7).get<std::uint64_t>();
         out.overloaded = fields.at(8).get<bool>();
@@ -150,7 +118,7 @@
 
 std::optional<rollback_request> decode_rollback_request(std::string_view bytes)
 {
-    return decode<rollback_request>(bytes, [](const json &fields, rollback_request &out) {
+    return support::decode_cbor<rollback_request>(bytes, [](const json &fields, rollback_request &out) {
         out.transaction = fields.at(0).get<std::uint64_t>();
     });
 }
--- a/src/inner/lease_messages.cpp
+++ b/src/inner/lease_messages.cpp
@@ -1,5 +1,7 @@
 #include "inner/lease_messages.h"
 
+#include "support/cbor.h"
+
 #include <nlohmann/json.hpp>
 
 namespace baobabport::inner {
@@ -11,18 +13,6 @@
 constexpr const char *request_kind = "q";
 constexpr const char *answer_kind = "a";
 
-std::string to_bytes(const json &message)
-{
-    std::string out;
-    json::to_cbor(message, out);
-    return out;
-}
-
-json from_bytes(std::string_view bytes)
-{
-    return json::from_cbor(bytes.begin(), bytes.end(), true, false);
-}
-
 json encode_lease(const primary_lease &it)
 {
     return {it.service, it.primary, it.term, it.log.term, it.log.offset, it.log_age.count(), it.granted};
@@ -60,6 +50,57 @@
     return out;
 }
 
+json encode_member(const member &it)
+{
+    return json::array({it.vm, it.data_centre, it.address});
+}
+
+member decode_member(const json &fields)
+{
+    return {fields.at(0).get<std::string>(), fields.at(1).get<std::string>(),
+            fields.at(2).get<std::string>()};
+}
+
+json encode_members(const std::vector<member> &members)
+{
+    json out = json::array();
+    for (const auto &it : members)
+        out.push_back(encode_member(it));
+    return out;
+}
+
+std::vector<member> decode_members(const json &fields)
+{
+    std::vector<member> out;
+    for (const auto &it : fields)
+        out.push_back(decode_member(it));
+    return out;
+}
+
+json encode_part(const member_changes &part)
+{
+    json changes = json::array();
+    for (const auto &it : part.changes)
+        changes.push_back(json::array({it.version, it.present, encode_member(it.process)}));
+    return json::array({part.generation, part.base, part.version, part.newest, changes});
+}
+
+member_changes decode_part(const json &fields)
+{
+    member_changes out;
+    out.generation = fields.at(0).get<std::uint64_t>();
+    out.base = fields.at(1).get<std::uint64_t>();
+    out.version = fields.at(2).get<std::uint64_t>();
+    out.newest = fields.at(3).get<std::uint64_t>();
+    for (const auto &it : fields.at(4))
+        out.changes.push_back({it.at(0).get<std::uint64_t>(), decode_member(it.at(2)), it.at(1).get<bool>()});
+    return out;
+}
+
+/// Fields that only relays and their followers use come last: older builds ignore them.
+constexpr std::size_t request_fields_of_older_builds = 9;
+constexpr std::size_t answer_fields_of_older_builds = 13;
+
 } // namespace
 
 std::uint64_t timestamp_of(std::chrono::steady_clock::time_point now)
@@ -81,9 +122,11 @@
     json earlier = json::array();
     for (const auto &it : message.earlier)
         earlier.push_back(encode_contact(it));
-    return to_bytes({request_kind, message.generation, message.number, message.store_unanswered_for.count(),
-                     message.members_known, message.vm, message.data_centre, message.leader_timestamp,
-                     earlier});
+    return support::to_cbor({request_kind, message.generation, message.number,
+                             message.store_unanswered_for.count(), message.members_known, message.vm,
+                             message.data_centre, message.leader_timestamp, earlier, message.accepts_relay,
+                             message.list_generation, message.list_version, message.followers_version,
+                             message.followers ? encode_members(*message.followers) : json()});
 }
 
 std::string encode(const lease_answer &message)
@@ -91,19 +134,19 @@
     json leases = json::array();
     for (const auto &it : message.leases)
         leases.push_back(encode_lease(it));
-    json members = json::array();
-    for (const auto &it : message.members)
-        members.push_back(json::array({it.vm, it.data_centre, it.address}));
-    return to_bytes({answer_kind, message.generation, message.number, leases, message.members_version,
-                     members, message.desired_state_version, message.desired_state_age.count(),
-                     message.instances_digest, message.instances_age.count(), message.leader_timestamp,
-                     message.acting, message.store_check_requested});
+    return support::to_cbor(
+        {answer_kind, message.generation, message.number, leases, message.members_version,
+         encode_members(message.members), message.desired_state_version, message.desired_state_age.count(),
+         message.instances_digest, message.instances_age.count(), message.leader_timestamp, message.acting,
+         message.store_check_requested, message.relays,
+         message.relayed_age ? message.relayed_age->count() : never, encode_member(message.leader),
+         encode_part(message.part), message.followers_version});
 }
 
 std::optional<lease_request> decode_lease_request(std::string_view bytes)
 {
     try {
-        const auto fields = from_bytes(bytes);
+        const auto fields = support::from_cbor(bytes);
         if (!fields.is_array() || fields.at(0) != request_kind)
             return std::nullopt;
         lease_request out;
@@ -116,6 +159,14 @@
         out.leader_timestamp = fields.at(7).get<std::uint64_t>();
         for (const auto &it : fields.at(8))
             out.earlier.push_back(decode_contact(it));
+        if (fields.size() <= request_fields_of_older_builds)
+            return out;
+        out.accepts_relay = fields.at(9).get<bool>();
+        out.list_generation = fields.at(10).get<std::uint64_t>();
+        out.list_version = fields.at(11).get<std::uint64_t>();
+        out.followers_version = fields.at(12).get<std::uint64_t>();
+        if (!fields.at(13).is_null())
+            out.followers = decode_members(fields.at(13));
         return out;
     } catch (const json::exception &) {
         return std::nullopt; // the caller counts unreadable messages
@@ -125,7 +176,7 @@
 std::optional<lease_answer> decode_lease_answer(std::string_view bytes)
 {
     try {
-        const auto fields = from_bytes(bytes);
+        const auto fields = support::from_cbor(bytes);
         if (!fields.is_array() || fields.at(0) != answer_kind)
             return std::nullopt;
         lease_answer out;
@@ -139,11 +190,17 @@
         out.leader_timestamp = fields.at(10).get<std::uint64_t>();
         out.acting = fields.at(11).get<bool>();
         out.store_check_requested = fields.at(12).get<bool>();
-        for (const auto &it : fields.at(5))
-            out.members.push_back(
-                {it.at(0).get<std::string>(), it.at(1).get<std::string>(), it.at(2).get<std::string>()});
+        out.members = decode_members(fields.at(5));
         for (const auto &it : fields.at(3))
             out.leases.push_back(decode_lease(it));
+        if (fields.size() <= answer_fields_of_older_builds)
+            return out;
+        out.relays = fields.at(13).get<std::vector<std::string>>();
+        if (const auto age = fields.at(14).get<std::int64_t>(); age != never)
+            out.relayed_age = std::chrono::milliseconds(age);
+        out.leader = decode_member(fields.at(15));
+        out.part = decode_part(fields.at(16));
+        out.followers_version = fields.at(17).get<std::uint64_t>();
         return out;
     } catch (const json::exception &) {
         return std::nullopt; // the caller counts unreadable messages
--- a/src/inner/lease_messages.h
+++ b/src/inner/lease_messages.h
@@ -23,7 +23,34 @@
     std::optional<std::chrono::milliseconds> agreed_ago;
 };
 
-/// Requests leases on all groups from the leader.
+/// A process that other processes can reach.
+struct member
+{
+    std::string vm;
+    std::string data_centre;
+    std::string address; ///< `IP:PORT`
+    bool operator==(const member &) const = default;
+};
+
+/// One change of the leader's list of processes.
+struct member_change
+{
+    std::uint64_t version = 0; ///< of the list with this change
+    member process;
+    bool present = true; ///< false: it has left
+};
+
+/// A part of the leader's list of processes; see `failover::member_log`.
+struct member_changes
+{
+    std::uint64_t generation = 0; ///< of the leader whose list it is; 0: there is no part
+    std::uint64_t base = 0;       ///< the part continues this version; 0: an empty list
+    std::uint64_t version = 0;    ///< of the list with the part
+    std::uint64_t newest = 0;     ///< of the whole list
+    std::vector<member_change> changes;
+};
+
+/// Requests leases on all groups from the leader, or its answer from a relay.
 struct lease_request
 {
     std::uint64_t generation = 0; ///< of the leader that is addressed
@@ -35,15 +62,12 @@
     std::string vm;                     ///< the requester; empty: it is leaving and never becomes leader
     std::string data_centre;
     std::vector<leader_contact> earlier; ///< leaders before the one that is addressed
-};
 
-/// A process that other processes can reach.
-struct member
-{
-    std::string vm;
-    std::string data_centre;
-    std::string address; ///< `IP:PORT`
-    bool operator==(const member &) const = default;
+    bool accepts_relay = false;        ///< false: of an older build, which the leader answers itself
+    std::uint64_t list_generation = 0; ///< of the copy of the member list that the requester has
+    std::uint64_t list_version = 0;
+    std::uint64_t followers_version = 0;          ///< of the processes that the requester answers as a relay
+    std::optional<std::vector<member>> followers; ///< none: the leader has that version
 };
 
 /// The leader's guarantee that it does not replace the group's primary before the lease ends.
@@ -75,7 +99,17 @@
     std::uint64_t instances_digest = 0;
     std::chrono::milliseconds instances_age{0}; ///< since the store listed them
     std::uint64_t members_version = 0;
-    std::vector<member> members; ///< empty if the requester has this version
+    std::vector<member> members; ///< empty if the requester has this version; for older builds
+
+    /// The processes to ask in place of the leader. If there are any, the answer contains nothing else and is
+    /// no contact with the leader: it does not need the requester's agreement.
+    std::vector<std::string> relays;
+    /// Of a relayed answer: since the relay's request that the leader answered. Leases and ages count from
+    /// that much before the requester's own request.
+    std::optional<std::chrono::milliseconds> relayed_age;
+    member leader; ///< of a relayed answer
+    member_changes part;
+    std::uint64_t followers_version = 0; ///< that the leader has of the requester
 };
 
 /// Returns the time as the timestamp of an answer, in milliseconds of the steady clock.
--- a/src/inner/message_codec.cpp
+++ b/src/inner/message_codec.cpp
@@ -1,5 +1,7 @@
 #include "inner/message_codec.h"
 
+#include "support/cbor.h"
+
 #include <nlohmann/json.hpp>
 
 namespace nlohmann {
@@ -71,7 +73,7 @@
 std::optional<Message> from_bytes(std::string_view bytes)
 {
     try {
-        return json::from_cbor(bytes).get<Message>();
+        return support::from_cbor(bytes).get<Message>();
     } catch (const json::exception &) {
         return std::nullopt;
     }
--- a/src/inner/stream_connection.h
+++ b/src/inner/stream_connection.h
@@ -22,8 +22,9 @@
     statement,
     view,
     document,
-    execute_statement,   ///< a statement for an instance whose connections the other side owns
-    rollback_transaction ///< rolls back a transaction on the other side
+    execute_statement,    ///< a statement for an instance whose connections the other side owns
+    rollback_transaction, ///< rolls back a transaction on the other side
+    read_directory        ///< asks for what the other side last read from the store
 };
 
 /// The outcome of a sent message.
--- a/src/pooler/pooler_task.cpp
+++ b/src/pooler/pooler_task.cpp
@@ -100,6 +100,7 @@
     case message_kind::prove:
     case message_kind::execute_statement:
     case message_kind::rollback_transaction:
+    case message_kind::read_directory:
         return; // handled by the connection itself, or sent between proxies only
     }
 }
--- a/src/proxy/caller_task.cpp
+++ b/src/proxy/caller_task.cpp
@@ -86,7 +86,7 @@
         return; // a statement completed synchronously; the outer call continues its loop
     processing_lines_ = true;
     // One statement at a time; pipelined statements stay in the input buffer.
-    while (socket_ && !run_ && phase_ != phase::closing && !output_is_full()) {
+    while (socket_ && !run_ && !awaits_routes_ && phase_ != phase::closing && !output_is_full()) {
         const auto line = next_line();
         if (!line)
             break;
@@ -131,6 +131,18 @@
         return;
     }
     database_ = message.database;
+    if (!environment_.routes->loaded()) {
+        awaits_routes_ = true; // `tick` continues
+        environment_.directory_needed();
+        return;
+    }
+    open_session();
+}
+
+void caller_task::open_session()
+{
+    std::string out;
+    awaits_routes_ = false;
     if (!environment_.routes->find(database_)) {
         const bool loaded = environment_.routes->loaded();
         support::log_event("session_refused", {{"database", database_},
@@ -353,6 +365,10 @@
 
 void caller_task::tick(time_point now)
 {
+    if (awaits_routes_ && (environment_.routes->loaded() || now - last_message_ > routes_timeout)) {
+        open_session();
+        process_lines();
+    }
     if (phase_ == phase::opening && now - last_message_ > open_timeout) {
         end();
         return;
--- a/src/proxy/caller_task.h
+++ b/src/proxy/caller_task.h
@@ -25,6 +25,7 @@
     support::metrics *metrics = nullptr;
     statement_executor *executor = nullptr;
     std::function<std::shared_ptr<group_task>(const std::string &service)> group_of;
+    std::function<void()> directory_needed; ///< called while a caller waits for the first desired state
 };
 
 /**
@@ -39,6 +40,8 @@
 public:
     /// A session is closed if the caller has not named a database within this time.
     static constexpr std::chrono::milliseconds open_timeout{5000};
+    /// A session waits this long for the first desired state of a process that has just started.
+    static constexpr std::chrono::milliseconds routes_timeout{1500};
     /// Bytes of input that are buffered while a statement runs; the rest stays in the caller's socket.
     static constexpr std::size_t max_buffered_input = std::size_t{256} * 1024;
     /// Bytes of unsent output above which no further statement of the caller is started.
@@ -78,6 +81,7 @@
     [[nodiscard]] bool output_is_full() const;
     void handle_message(const session::caller_message &message);
     void handle_message(const session::open_session &message);
+    void open_session();
     void handle_message(const session::statement_request &message);
     void answer_locally(const session::statement &what, const session::statement_request &message);
     void begin(bool read_only);
@@ -104,6 +108,7 @@
     std::shared_ptr<statement_run> run_;
     std::shared_ptr<transaction> transaction_;
     bool failed_transaction_ = false; ///< only COMMIT or ROLLBACK is accepted
+    bool awaits_routes_ = false;      ///< the caller named its database, and no desired state is known yet
     bool close_when_idle_ = false;
     bool processing_lines_ = false; ///< `process_lines` is on the call stack
     time_point last_message_;
--- a/src/proxy/election_task.cpp
+++ b/src/proxy/election_task.cpp
@@ -79,7 +79,11 @@
 
 std::optional<leader_endpoint> election_task::remote_leader() const
 {
-    if (is_leader_ || leader_revision_ == 0 || leader_ == vm_)
+    if (is_leader_)
+        return std::nullopt;
+    if (relayed_leader_ && relayed_leader_->generation > stored_generation_)
+        return relayed_leader_; // elected since this process last read the store
+    if (leader_revision_ == 0 || leader_ == vm_)
         return std::nullopt;
     return leader_endpoint{leader_, leader_data_centre_, leader_peer_, record_.generation};
 }
@@ -93,6 +97,23 @@
         leader_answered_at_ = std::max(leader_answered_at_, requested_at);
 }
 
+bool election_task::handle_relayed_answer(const inner::lease_answer &answer, time_point requested_at)
+{
+    if (is_leader_ || answer.generation < record_.generation)
+        return false;
+    if (!answer.acting) {
+        relay_searched_at_ = std::max(relay_searched_at_, requested_at);
+        return true;
+    }
+    const auto at = support::parse_address(answer.leader.address);
+    if (!at)
+        return false;
+    record_.generation = answer.generation; // this process no longer follows an earlier leader
+    relayed_leader_ = leader_endpoint{answer.leader.vm, answer.leader.data_centre, *at, answer.generation};
+    leader_answered_at_ = std::max(leader_answered_at_, requested_at);
+    return true;
+}
+
 void election_task::fill_request(inner::lease_request &request, time_point now)
 {
     request.leader_timestamp = contacts_.timestamp_of(request.generation);
@@ -114,7 +135,7 @@
 {
     if (is_leader_)
         update_record(now);
-    if (!relies_on_answers_ || leader_is_responsive(now))
+    if (!relies_on_answers_ || awaits_leader(now) || relay_searches(now))
         return;
     relies_on_answers_ = false;
     read_leadership();
--- a/src/proxy/election_task.h
+++ b/src/proxy/election_task.h
@@ -47,6 +47,11 @@
     /// When there is no leader, each process waits for a different part of this time before it tries to
     /// become one, so that most find the leader key already present.
     static constexpr std::chrono::milliseconds election_jitter{60};
+    /// The same before the first leader of all, when every process of the fleet starts at once.
+    static constexpr std::chrono::milliseconds first_election_jitter{400};
+    /// A process that a relay has answered waits this much longer: the relays, which the earlier leader has
+    /// answered, can act as the next leader at once.
+    static constexpr std::chrono::milliseconds relayed_election_delay{400};
     /// A leader whose calls to the store have had no answer for this long asks its followers to check whether
     /// the store answers them; many times the store's usual response time.
     static constexpr std::chrono::milliseconds store_unresponsive_threshold{150};
@@ -69,6 +74,18 @@
     /// Records a leader's answer to a request that was sent at `requested_at`.
     void handle_leader_answer(const inner::lease_answer &answer, time_point requested_at);
 
+    /// Records a relayed answer of the leader to a request sent at `requested_at`. Returns false if the
+    /// answer is of an earlier leader than the one that this process follows. It is no contact with the
+    /// leader.
+    bool handle_relayed_answer(const inner::lease_answer &answer, time_point requested_at);
+
+    /// Returns true if the leader must answer the process itself: only what it reports of an earlier leader
+    /// lets this one begin.
+    [[nodiscard]] bool needs_report_of(const inner::lease_request &request) const
+    {
+        return takeover_.needs_witness() && !request.earlier.empty();
+    }
+
     /// Fills the fields of a request to the leader that concern the leadership.
     void fill_request(inner::lease_request &request, time_point now);
 
@@ -141,9 +158,12 @@
     void check_store(time_point now);
     [[nodiscard]] failover::leadership_record desired_record(time_point now) const;
     [[nodiscard]] std::string self() const { return vm_ + '@' + peer_.text(); }
-    [[nodiscard]] bool leader_is_responsive(time_point now) const
+    /// Returns true while the leader's answers, or the first one of a new leader, are recent enough to do
+    /// without the store.
+    bool awaits_leader(time_point now);
+    [[nodiscard]] bool relay_searches(time_point now) const
     {
-        return now - leader_answered_at_ < leader_answer_lifetime;
+        return now - relay_searched_at_ < leader_answer_lifetime;
     }
 
     platform::metadata_client &store_;
@@ -174,10 +194,15 @@
     bool record_readable_ = true;
     bool resigned_ = false; ///< permanently: the process shuts down
     time_point leader_answered_at_;
-    time_point record_sent_at_;               ///< when the record was last sent
-    time_point record_changed_at_;            ///< when the store confirmed its last change
-    std::uint64_t own_generation_ = 0;        ///< of this process's last leadership
-    std::optional<time_point> last_order_at_; ///< last promotion order, given or about to be given
+    std::uint64_t awaited_leader_ = 0; ///< `leader_revision_` of the leader that was given time to answer
+    time_point leader_awaited_from_;
+    time_point relay_searched_at_;        ///< when a relay last said that it searches for the leader
+    std::uint64_t stored_generation_ = 0; ///< as last read from the store
+    std::optional<leader_endpoint> relayed_leader_; ///< as a relay names it
+    time_point record_sent_at_;                     ///< when the record was last sent
+    time_point record_changed_at_;                  ///< when the store confirmed its last change
+    std::uint64_t own_generation_ = 0;              ///< of this process's last leadership
+    std::optional<time_point> last_order_at_;       ///< last promotion order, given or about to be given
     failover::leadership_validity validity_;
     failover::leadership_takeover takeover_;
     failover::leader_contacts contacts_;
--- a/src/proxy/election_task_store.cpp
+++ b/src/proxy/election_task_store.cpp
@@ -87,13 +87,22 @@
         auto before = record_; // acquiring the key succeeded, but the answer was lost
         --before.generation;
         become_leader(before, *requested_at);
-    } else if (leader_is_responsive(support::boot_clock::now())) {
+    } else if (awaits_leader(support::boot_clock::now())) {
         relies_on_answers_ = true;
     } else {
         watch();
     }
 }
 
+bool election_task::awaits_leader(time_point now)
+{
+    if (leader_revision_ != awaited_leader_) {
+        awaited_leader_ = leader_revision_;
+        leader_awaited_from_ = now;
+    }
+    return now - std::max(leader_answered_at_, leader_awaited_from_) < leader_answer_lifetime;
+}
+
 void election_task::read_keys(const platform::store_reply &reply)
 {
     for (const auto &it : reply.items) {
@@ -119,6 +128,8 @@
                 support::log_warning("failover_duty_unreadable", {{"key", it.key}});
             else if (record->generation >= record_.generation)
                 record_ = *record;
+            if (record)
+                stored_generation_ = record->generation;
             record_revision_ = it.revision;
         }
     }
@@ -149,7 +160,9 @@
 {
     // During the delay, the watch reports whether another process has become leader.
     const auto hash_value = std::hash<std::string>{}(vm_ + std::to_string(record_.generation));
-    election_timer_.start(std::chrono::milliseconds(hash_value % election_jitter.count()));
+    const auto jitter = record_.generation == 0 ? first_election_jitter : election_jitter;
+    const auto delay = relayed_leader_ ? relayed_election_delay : std::chrono::milliseconds(0);
+    election_timer_.start(delay + std::chrono::milliseconds(hash_value % jitter.count()));
     watch();
 }
 
@@ -211,6 +224,8 @@
     const auto now = support::boot_clock::now();
     is_leader_ = true;
     own_generation_ = record_.generation;
+    stored_generation_ = record_.generation;
+    relayed_leader_.reset();
     leader_key_unverified_ = false;
     clear_pending_ = false;
     last_order_at_.reset();
--- a/src/proxy/group_task.h
+++ b/src/proxy/group_task.h
@@ -23,6 +23,7 @@
 namespace baobabport::proxy {
 
 using consistency::position;
+using std::chrono::milliseconds;
 
 /// Condition that must hold before an answer of the primary is returned to its caller.
 struct confirmation_request
@@ -73,8 +74,9 @@
     static constexpr std::chrono::milliseconds leader_update_lifetime{600};
     /// Interval of status requests to all instances while the primary is unknown or contested.
     static constexpr std::chrono::milliseconds search_interval{60};
-    /// Maximum age of the floor while reads need one; half of the shortest maximum staleness in use.
-    static constexpr std::chrono::milliseconds max_floor_age{500};
+    /// Maximum age of the log position that the leader reports to others; the report itself takes as long
+    /// again to reach all of them.
+    static constexpr std::chrono::milliseconds max_reported_age{250};
     /// Minimum interval between requests for confirmations, so that many answers share one request.
     static constexpr std::chrono::milliseconds confirm_interval{10};
     /// The floor is refreshed for this long after the last read that needed one.
@@ -105,8 +107,11 @@
     /// Calls the hook with true once the condition holds, or with false at `deadline`.
     void wait_until(std::function<bool()> condition, time_point deadline, std::function<void(bool)> done);
 
-    /// Records that reads need a recent floor.
-    void request_floor(time_point now) { floor_requested_at_ = now; }
+    /// Records that reads need a floor that is at most `max_age` old. It is refreshed before that.
+    void request_floor(milliseconds max_age, time_point now);
+
+    /// Records that other processes rely on the log position that this one, the leader, reports.
+    void request_reported_position(time_point now) { request_floor(max_reported_age, now); }
 
     /// Calls the hook once the primary is confirmed or superseded, or at the request's deadline.
     void confirm(const confirmation_request &request, std::function<void(confirmation_result)> done);
@@ -205,6 +210,7 @@
     std::list<waiting_confirmation> confirmations_;
     std::list<condition_waiter> conditions_;
     time_point floor_requested_at_;
+    milliseconds floor_age_{0};        ///< the lowest age requested within `floor_refresh_period`
     time_point last_leader_update_at_; ///< when a lease that names the primary was last received
     time_point lease_until_;
     std::uint64_t lease_term_ = 0;
--- a/src/proxy/group_task_requests.cpp
+++ b/src/proxy/group_task_requests.cpp
@@ -180,11 +180,19 @@
         probe(it.first);
 }
 
+void group_task::request_floor(milliseconds max_age, time_point now)
+{
+    max_age = std::max(max_age, max_reported_age);
+    if (now - floor_requested_at_ > floor_refresh_period || max_age < floor_age_)
+        floor_age_ = max_age;
+    floor_requested_at_ = now;
+}
+
 void group_task::refresh_floor(time_point now)
 {
     if (now - floor_requested_at_ > floor_refresh_period || !state_.primary())
         return;
-    if (state_.floor_at(now - max_floor_age))
+    if (state_.floor_at(now - floor_age_))
         return;
     probe(*state_.primary());
     const auto replicas = replicas_by_preference(now);
--- a/src/proxy/instance_pool.cpp
+++ b/src/proxy/instance_pool.cpp
@@ -82,6 +82,8 @@
 {
     if (retired_ || all_.size() >= limit_ || opening() >= waiting_.size() || !reachable(clock_type::now()))
         return;
+    if (all_.size() >= refused_above_ && opening() > 0)
+        return;
     auto it = std::make_shared<upstream_connection>(base_, target_);
     health_.requested();
     all_.push_back(it);
@@ -92,6 +94,8 @@
                   if (!me)
                       return;
                   me->health_.answered();
+                  me->limit_delay_ = retry_after_failure;
+                  me->refused_above_ = std::max(me->refused_above_, me->all_.size());
                   me->idle_.push_back({raw->shared_from_this(), clock_type::now()});
                   me->serve_waiting();
               },
@@ -116,9 +120,10 @@
         idle_.erase(idle);
     if (!kept->was_open())
         retry_at_ = clock_type::now() + retry_after_failure;
-    if (refusal && refusal->code == session::answer_code::connection_limit)
+    if (refusal && refusal->code == session::answer_code::connection_limit) {
         health_.answered(); // it is responsive; other processes use all its connections
-    else
+        record_limit_refusal(clock_type::now());
+    } else
         health_.failed(refusal ? "refused with " + std::string(platform::code_word(refusal->code)) + ' ' +
                                      refusal->text
                                : "connection lost",
@@ -127,6 +132,13 @@
         refuse_waiting(acquire_failure::unreachable);
 }
 
+void instance_pool::record_limit_refusal(time_point now)
+{
+    refused_above_ = all_.size();
+    retry_at_ = now + limit_delay_;
+    limit_delay_ = std::min(limit_delay_ * 2, longest_limit_delay);
+}
+
 void instance_pool::serve_waiting()
 {
     // After a suspension of the process, sockets are handled before timers: requests may have expired.
--- a/src/proxy/instance_pool.h
+++ b/src/proxy/instance_pool.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <list>
 #include <memory>
 #include <optional>
@@ -44,6 +45,8 @@
 
     /// Back-off delay after a failed attempt to open a connection; two detection intervals.
     static constexpr std::chrono::milliseconds retry_after_failure{200};
+    /// The delay doubles up to this with each attempt that the instance refuses for its connection limit.
+    static constexpr std::chrono::milliseconds longest_limit_delay{3200};
     /// An idle connection is closed after this time, so that other processes can open one.
     static constexpr std::chrono::milliseconds idle_time{3000};
     /// Time-out of opening a connection, which usually takes 12 ms and the wait in the instance's queue.
@@ -112,6 +115,7 @@
     void open_for_waiting();
     void end_slow_attempts(time_point now);
     void end_unresponsive(time_point now);
+    void record_limit_refusal(time_point now);
     void on_closed(upstream_connection *which, const std::optional<session::failure> &refusal);
     void serve_waiting();
     void refuse_expired(time_point now);
@@ -123,6 +127,9 @@
     upstream_target target_;
     std::uint32_t limit_;
     std::uint32_t slots_ = 1;
+    /// Connections above this number are opened one at a time: the instance refused one.
+    std::size_t refused_above_ = std::numeric_limits<std::size_t>::max();
+    std::chrono::milliseconds limit_delay_ = retry_after_failure;
     health_hooks health_;
     std::vector<idle_connection> idle_;
     std::vector<connection> all_; ///< open or opening
--- a/src/proxy/lease_task.cpp
+++ b/src/proxy/lease_task.cpp
@@ -15,12 +15,15 @@
 
 namespace {
 
-constexpr std::size_t max_datagram = 8192; ///< bytes; a group takes about 60 of them
+/// Bytes: as much as a datagram can contain. A group takes about 60 of them, a part of the member list 2000.
+constexpr std::size_t max_datagram = 65507;
+/// Datagrams that are read before other events are handled.
+constexpr int max_datagrams_at_once = 32;
 
 } // namespace
 
 lease_task::lease_task(event_base *base, const support::address &at, hooks callbacks)
-    : hooks_(std::move(callbacks))
+    : hooks_(std::move(callbacks)), buffer_(max_datagram, '\0')
 {
     socket_ = socket(AF_INET, SOCK_DGRAM, 0);
     const auto address = support::to_sockaddr(at);
@@ -41,18 +44,18 @@
 {
     if (now - requested_at_ < (urgent ? urgent_interval : renew_interval))
         return;
-    const auto leader = hooks_.leader();
-    if (!leader)
+    const auto receiver = hooks_.receiver();
+    if (!receiver)
         return;
     requested_at_ = now;
     const auto number = ++last_number_;
     sent_[number % tracked_requests] = {number, now};
     inner::lease_request request;
-    request.generation = leader->generation;
+    request.generation = receiver->generation;
     request.number = number;
     hooks_.fill_request(request);
     const auto bytes = inner::encode(request);
-    const auto to = support::to_sockaddr(leader->at);
+    const auto to = support::to_sockaddr(receiver->at);
     // A datagram that cannot be sent is treated as lost: the next request follows soon.
     sendto(socket_, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr *>(&to), sizeof(to));
 }
@@ -64,19 +67,25 @@
 
 void lease_task::receive()
 {
-    std::string buf(max_datagram, '\0');
-    sockaddr_in from{};
-    socklen_t length = sizeof(from);
-    const auto n = recvfrom(socket_, buf.data(), buf.size(), 0, reinterpret_cast<sockaddr *>(&from), &length);
-    if (n <= 0)
-        return;
-    const std::string_view bytes(buf.data(), static_cast<std::size_t>(n));
+    for (int n = 0; n < max_datagrams_at_once; ++n) {
+        sockaddr_in from{};
+        socklen_t length = sizeof(from);
+        const auto size = recvfrom(socket_, buffer_.data(), buffer_.size(), 0,
+                                   reinterpret_cast<sockaddr *>(&from), &length);
+        if (size <= 0)
+            return;
+        handle_datagram({buffer_.data(), static_cast<std::size_t>(size)}, from);
+    }
+}
+
+void lease_task::handle_datagram(std::string_view bytes, const sockaddr_in &from)
+{
     if (const auto request = inner::decode_lease_request(bytes)) {
         const auto answer = hooks_.answer_request(*request, support::from_sockaddr(from));
         if (!answer)
             return;
         const auto out = inner::encode(*answer);
-        sendto(socket_, out.data(), out.size(), 0, reinterpret_cast<const sockaddr *>(&from), length);
+        sendto(socket_, out.data(), out.size(), 0, reinterpret_cast<const sockaddr *>(&from), sizeof(from));
     } else if (const auto answer = inner::decode_lease_answer(bytes)) {
         handle_answer(*answer);
     } else {
--- a/src/proxy/lease_task.h
+++ b/src/proxy/lease_task.h
@@ -10,15 +10,18 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
+#include <string_view>
 
 struct event_base;
 struct event;
+struct sockaddr_in;
 
 namespace baobabport::proxy {
 
 using time_point = std::chrono::steady_clock::time_point;
 
-/// The leader and the address at which it receives requests.
+/// A leader and the address at which requests reach it, directly or through a relay.
 struct leader_endpoint
 {
     std::string vm;
@@ -42,9 +45,11 @@
 
     struct hooks
     {
-        /// Returns the leader to send requests to, or none if it is not known or is this process.
-        std::function<std::optional<leader_endpoint>()> leader;
-        /// Returns the answer to a request, or none if this process is not the leader of its generation.
+        /// Returns the process to send a request to: the leader or a relay. None if the leader is not known
+        /// or is this process. Called once for each request.
+        std::function<std::optional<leader_endpoint>()> receiver;
+        /// Returns the answer to a request, or none if this process is neither the leader of its generation
+        /// nor a relay.
         std::function<std::optional<inner::lease_answer>(const inner::lease_request &,
                                                          const support::address &from)>
             answer_request;
@@ -78,6 +83,7 @@
 
     static void on_readable(int socket, short what, void *self);
     void receive();
+    void handle_datagram(std::string_view bytes, const sockaddr_in &from);
     void handle_answer(const inner::lease_answer &answer);
 
     hooks hooks_;
@@ -87,6 +93,7 @@
     std::uint64_t last_number_ = 0;
     std::uint64_t unreadable_ = 0;
     std::array<sent_request, tracked_requests> sent_;
+    std::string buffer_; ///< for the datagram being read
 };
 
 } // namespace baobabport::proxy
--- a/src/proxy/local_executor.cpp
+++ b/src/proxy/local_executor.cpp
@@ -291,6 +291,26 @@
 }
 
 void local_executor::execute(std::uint64_t owner, inner::execute_request request, answer_hook done)
+{
+    const bool status_request =
+        request.id == platform::own_statement_id && request.text == platform::status_text();
+    if (!status_request)
+        start(owner, std::move(request), std::move(done));
+    else if (state_->status_requests.submit(request.instance, std::move(done)))
+        send_status_request(request);
+}
+
+void local_executor::send_status_request(const inner::execute_request &request)
+{
+    constexpr std::uint64_t no_owner = 0;
+    start(no_owner, request, [this, request, weak = std::weak_ptr(state_)](const auto &answer) {
+        const auto state = weak.lock(); // expired: this object is gone
+        if (state && state->status_requests.finish(request.instance, answer))
+            send_status_request(request);
+    });
+}
+
+void local_executor::start(std::uint64_t owner, inner::execute_request request, answer_hook done)
 {
     auto pool = pools_(request.service, request.instance);
     const auto open = state_->transactions.find(request.transaction);
--- a/src/proxy/local_executor.h
+++ b/src/proxy/local_executor.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "admission/slot_scheduler.h"
+#include "admission/status_sharing.h"
 #include "inner/execute_messages.h"
 #include "proxy/instance_pool.h"
 
@@ -71,8 +72,11 @@
         std::map<std::string, admission::slot_scheduler> schedulers; ///< by instance
         std::map<std::uint64_t, std::shared_ptr<execution>> waiting; ///< for a slot, by key
         std::uint64_t last_key = 0;
+        admission::status_sharing<inner::execute_answer> status_requests;
     };
 
+    void start(std::uint64_t owner, inner::execute_request request, answer_hook done);
+    void send_status_request(const inner::execute_request &request);
     static std::uint64_t random_start();
     static void start_waiting(shared_state &state, admission::slot_scheduler &scheduler, time_point now);
     void end_idle(time_point now, std::chrono::milliseconds limit);
--- a/src/proxy/peer_task.cpp
+++ b/src/proxy/peer_task.cpp
@@ -58,6 +58,11 @@
         reply({});
         return;
     }
+    if (kind == message_kind::read_directory) {
+        const auto wanted = inner::decode_directory_request(body);
+        reply(inner::encode(wanted && directory_ ? directory_(wanted->part) : inner::directory_answer{}));
+        return;
+    }
     auto request = inner::decode_execute_request(body);
     if (kind != message_kind::execute_statement || !request) {
         support::log_warning("peer_message_unreadable", {{"bytes", std::to_string(body.size())}});
@@ -72,6 +77,7 @@
 void peer_task::set_members(std::vector<inner::member> members)
 {
     members_ = std::move(members);
+    rankings_.clear();
     std::erase_if(members_, [this](const auto &it) { return it.vm == self_.vm; });
     members_.push_back({self_.vm, self_.data_centre, self_.at.text()});
     for (const auto &it : members_) {
@@ -90,20 +96,27 @@
            (health.outstanding > 0 && now - health.last_received_at > unresponsive_limit);
 }
 
-std::string peer_task::home_of(const std::string &instance, const std::string &data_centre,
-                               time_point now) const
+const std::vector<std::string> &peer_task::ranked_vms(const std::string &instance,
+                                                      const std::string &data_centre) const
 {
+    auto [it, is_new] = rankings_.try_emplace({instance, data_centre});
+    if (!is_new)
+        return it->second;
     std::vector<routing::candidate> candidates;
-    for (const auto &it : members_)
-        candidates.push_back({it.vm, it.data_centre});
+    for (const auto &member : members_)
+        candidates.push_back({member.vm, member.data_centre});
     const auto order = routing::rank_homes({instance, {data_centre}}, candidates);
-    std::size_t rank = 0;
-    for (const auto n : order) {
-        const auto &vm = candidates[n].name;
+    for (std::size_t n = 0; n < std::min(order.size(), max_ranks); ++n)
+        it->second.push_back(candidates[order[n]].name);
+    return it->second;
+}
+
+std::string peer_task::home_of(const std::string &instance, const std::string &data_centre,
+                               time_point now) const
+{
+    for (const auto &vm : ranked_vms(instance, data_centre)) {
         if (vm == self_.vm)
             return {};
-        if (++rank > max_ranks)
-            break;
         if (!excluded(vm, now))
             return vm;
     }
@@ -160,6 +173,21 @@
           0});
 }
 
+void peer_task::read_directory(const support::address &from, inner::directory_part part, directory_hook done)
+{
+    // The process may not be a member yet, so its link is named after its address.
+    const auto name = "relay " + from.text();
+    links_.set_address(name, from);
+    links_.send(name, message_kind::read_directory, inner::encode(inner::directory_request{part}),
+                directory_timeout, [done = std::move(done)](const auto &outcome) {
+                    auto answer =
+                        outcome.answered ? inner::decode_directory_answer(outcome.body) : std::nullopt;
+                    if (answer && !answer->available)
+                        answer.reset();
+                    done(answer);
+                });
+}
+
 void peer_task::end_transaction(const std::string &vm, std::uint64_t transaction)
 {
     if (vm.empty()) {
--- a/src/proxy/peer_task.h
+++ b/src/proxy/peer_task.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "inner/directory_messages.h"
 #include "inner/lease_messages.h"
 #include "inner/pooler_links.h"
 #include "proxy/local_executor.h"
@@ -13,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 struct event_base;
@@ -47,6 +49,8 @@
     /// A process that has answered no outstanding request for this long is excluded; longer than the longest
     /// statement.
     static constexpr std::chrono::milliseconds unresponsive_limit{350};
+    /// Time-out of a request for a part of the directory; the store is read afterwards.
+    static constexpr std::chrono::milliseconds directory_timeout{400};
     /// Number of ranks that are tried as a home; more would only spread an instance's connections.
     static constexpr std::size_t max_ranks = 3;
 
@@ -67,6 +71,18 @@
     void execute(const std::string &vm, inner::execute_request request, answer_hook done);
     void end_transaction(const std::string &vm, std::uint64_t transaction);
 
+    using directory_hook = std::function<void(const std::optional<inner::directory_answer> &)>;
+
+    /// Sets what this process answers to requests for parts of the directory.
+    void set_directory(std::function<inner::directory_answer(inner::directory_part)> source)
+    {
+        directory_ = std::move(source);
+    }
+
+    /// Requests a part of the directory from the process at the address. The hook receives none if it does
+    /// not answer or has nothing to pass on.
+    void read_directory(const support::address &from, inner::directory_part part, directory_hook done);
+
     /// Stops accepting links; those that are open stay in use.
     void stop();
 
@@ -89,15 +105,21 @@
     void handle_outcome(const std::string &vm, time_point sent_at, const inner::stream_outcome &outcome,
                         const answer_hook &done);
     [[nodiscard]] bool excluded(const std::string &vm, time_point now) const;
+    [[nodiscard]] const std::vector<std::string> &ranked_vms(const std::string &instance,
+                                                             const std::string &data_centre) const;
 
     event_base *base_;
     peer_identity self_;
     local_executor &local_executor_;
     inner::pooler_links links_;
     std::vector<inner::member> members_;
+    /// The first `max_ranks` VMs for an instance, by instance and data centre; emptied when the members
+    /// change.
+    mutable std::map<std::pair<std::string, std::string>, std::vector<std::string>> rankings_;
     std::map<std::string, link_health> health_; ///< by VM
     std::map<std::uint64_t, accepted_link> accepted_links_;
     std::uint64_t last_owner_ = 0; ///< of an accepted link; 0 is this process
+    std::function<inner::directory_answer(inner::directory_part)> directory_;
     std::optional<support::listener> listener_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< callbacks keep a weak pointer to it
 };
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -55,15 +55,22 @@
       instance_list_(
           base, store_, [this](auto records) { apply(std::move(records)); },
           [this] { instances_.record_listing_failure(clock_type::now()); }),
-      local_executor_([this](const auto &service, const auto &instance) {
+      lease_source_(settings_.process), local_executor_([this](const auto &service, const auto &instance) {
           const auto group = groups_.find(service);
           return group == groups_.end() ? nullptr
                                         : group->second->pool_for_statements(instance, clock_type::now());
       }),
       executor_(make_executor()), timer_(base, [this] { tick(); })
 {
-    environment_ = {base_, &routes_, &metrics_, &executor_,
-                    [this](const auto &service) { return group_of(service); }};
+    environment_ = {base_,
+                    &routes_,
+                    &metrics_,
+                    &executor_,
+                    [this](const auto &service) { return group_of(service); },
+                    [this] {
+                        desired_state_.read_now();
+                        instance_list_.list_now();
+                    }};
     if (settings_.promotion_orders) {
         promotion_client_.emplace(base_, *settings_.promotion_orders);
         election_.emplace(base_, store_, settings_);
@@ -74,13 +81,15 @@
     leases_.emplace(
         base_, settings_.peers,
         lease_task::hooks{
-            [this] { return election_ ? election_->remote_leader() : std::nullopt; },
+            [this] { return lease_receiver(); },
             [this](const auto &request, const auto &from) { return answer_request(request, from); },
             [this](auto &request) { fill_request(request); },
             [this](const auto &answer, auto at) { handle_lease_answer(answer, at); }});
     desired_state_.set_bound(settings_.configuration_bound);
-    desired_state_.start();
-    instance_list_.start();
+    desired_state_.set_peer_read(peer_read_of(inner::directory_part::desired_state));
+    instance_list_.set_peer_read(peer_read_of(inner::directory_part::instances));
+    desired_state_.start(election_.has_value());
+    instance_list_.start(election_.has_value());
     timer_.repeat(tick_interval);
     log_event("started", {{"callers", settings_.callers.text()}, {"data_centre", settings_.data_centre}});
 }
@@ -175,7 +184,7 @@
     tick_peers(now);
     const bool urgent = std::any_of(groups_.begin(), groups_.end(),
                                     [](const auto &it) { return it.second->waits_for_primary(); });
-    leases_->tick(now, urgent);
+    leases_->tick(now, urgent || relays_named_ || !member_log_.complete());
     for (const auto &it : groups_)
         it.second->tick(now);
     for (const auto &it : failovers_)
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -5,7 +5,11 @@
 
 #include "directory/instance_directory.h"
 #include "directory/route_table.h"
+#include "failover/lease_relay.h"
+#include "failover/lease_source.h"
+#include "failover/member_log.h"
 #include "failover/membership_tracker.h"
+#include "failover/relay_assignment.h"
 #include "http/http_server.h"
 #include "platform/metadata_client.h"
 #include "platform/promotion_client.h"
@@ -66,12 +70,19 @@
     void tick_leadership(time_point now);
     void log_basis(time_point now);
     void tick_peers(time_point now);
-    void update_members(const std::vector<inner::member> &members, std::uint64_t version);
+    void update_members(std::vector<inner::member> members);
+    [[nodiscard]] std::optional<leader_endpoint> lease_receiver();
+    [[nodiscard]] peer_read peer_read_of(inner::directory_part part);
+    [[nodiscard]] inner::directory_answer directory(inner::directory_part part) const;
+    void add_directory_state(inner::lease_answer &answer, time_point now) const;
+    void apply_directory_report(const inner::lease_answer &answer, time_point requested_at);
+    void copy_members(const inner::lease_answer &answer);
     void fill_request(inner::lease_request &request);
     void track_follower(const inner::lease_request &request, const support::address &from, time_point now);
     statement_executor make_executor();
     std::optional<inner::lease_answer> answer_request(const inner::lease_request &request,
                                                       const support::address &from);
+    void add_leases(inner::lease_answer &answer, bool exclusive, time_point now);
     [[nodiscard]] milliseconds store_unresponsive_for(time_point now) const;
     void handle_lease_answer(const inner::lease_answer &answer, time_point requested_at);
     std::shared_ptr<group_task> group_of(const std::string &service);
@@ -97,13 +108,18 @@
     leadership_basis basis_ = leadership_basis::none;    ///< as last logged
     std::optional<std::uint64_t> membership_generation_; ///< that `membership_` was started for
     std::optional<std::uint64_t> granting_generation_;   ///< that `grantor_` was started for
+    failover::relay_assignment relay_assignment_;        ///< used while this process is the leader
+    failover::lease_source lease_source_;
+    bool relays_named_ = false; ///< the leader has just named relays, which have not been asked yet
+    failover::lease_relay relay_;
+    failover::member_log member_log_; ///< the leader's list: kept by the leader, copied by the others
     std::optional<lease_task> leases_;
     std::map<std::string, std::shared_ptr<group_task>> groups_;
     std::map<std::string, std::unique_ptr<failover_task>> failovers_;
     local_executor local_executor_;
     std::optional<peer_task> peers_; ///< from when the processes' shared key is known
     std::vector<inner::member> known_members_;
-    std::uint64_t members_version_ = 0;
+    std::uint64_t members_version_ = 0; ///< of `membership_`, or of an older build's list
     statement_executor executor_;
     session_environment environment_;
     std::map<std::uint64_t, std::shared_ptr<caller_task>> callers_;
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -122,7 +122,9 @@
 void statement_run::choose_reader()
 {
     const auto self = shared_from_this();
-    group_->request_floor(clock_type::now());
+    const auto now = clock_type::now();
+    const auto oldest = std::chrono::duration_cast<std::chrono::milliseconds>(now - fresh_since());
+    group_->request_floor(share_of(oldest, floor_refresh_share), now);
     group_->wait_until(
         [weak = weak_from_this()] {
             const auto me = weak.lock();
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -77,6 +77,8 @@
     static constexpr double slot_wait_share = 0.75;
     /// Minimum wait for a slot that a retry is allowed, as a fraction of the target latency.
     static constexpr double retry_wait_share = 0.3;
+    /// A floor is refreshed at this fraction of the age at which reads could no longer use it.
+    static constexpr double floor_refresh_share = 0.75;
     /// Subtracted from a route's maximum staleness: time between a read's first byte and its arrival here.
     static constexpr std::chrono::milliseconds staleness_margin{150};
     /// Back-off delay after an instance was busy; about the duration of one statement.
--- a/tests/proxy/test_local_executor.cpp
+++ b/tests/proxy/test_local_executor.cpp
@@ -20,10 +20,10 @@
 struct silent_home
 {
     silent_home()
-        : base(event_base_new()), pool(std::make_shared<proxy::instance_pool>(
-                                      base, proxy::upstream_target{instance.at(), "db", "i-1", "proxy"}, 4,
-                                      proxy::instance_pool::health_hooks{[] {}, [] {},
-                                                                         [](const auto &, bool) {}})),
+        : base(event_base_new()),
+          pool(std::make_shared<proxy::instance_pool>(
+              base, proxy::upstream_target{instance.at(), "db", "i-1", "proxy"}, 4,
+              proxy::instance_pool::health_hooks{[] {}, [] {}, [](const auto &, bool) {}})),
           executor([this](const auto &, const auto &) { return pool; })
     {
         pool->set_slots(1);
--- a/tests/proxy/test_proxy.cpp
+++ b/tests/proxy/test_proxy.cpp
@@ -468,3 +468,16 @@
     CHECK(answer.find("could not be confirmed in time") != std::string::npos);
     CHECK(answer.find("replaced") == std::string::npos);
 }
+
+TEST_CASE("a session that connects before the first desired state is known waits for it")
+{
+    proxy_site site;
+    const auto settings = site.settings_of("front-2");
+    baobabport::proxy::proxy_task second(site.base, settings, [] {});
+    test_caller caller(site.base, settings.callers);
+    caller.send("CONNECT main u1\r\nQUERY 1 READ x\r\n");
+    REQUIRE(site.run_until([&] { return caller.lines.size() >= 3; }));
+    CHECK(caller.lines.front() == "READY I -");
+    CHECK(caller.lines.back().starts_with("READY I"));
+    CHECK_FALSE(caller.closed);
+}
--- a/tests/support/proxy_site.cpp
+++ b/tests/support/proxy_site.cpp
@@ -81,7 +81,7 @@
     for (const auto &it : group.ids())
         register_instance(it);
     proxy.emplace(base, settings_, [this] { stopped = true; });
-    run_until([this] { return store->has("baobabport/failover/holder"); });
+    run_until([this] { return store->has("baobabport/failover/holder") && ready_status() == 200; });
 }
 
 proxy::proxy_settings proxy_site::settings_of(const std::string &process) const
