Odd records of other writers are refused, and nested messages do not end a process

Change: failover::decode_leader_key; numbers and times of records have limits; records left out are logged once by key, and counted in the metric baobabport_unusable_instance_records; unreadable datagrams are a metric, too.

What already held: one odd entry among the instances' never hid the others (a port of 65536, 1e999, nesting, or text that is not UTF-8 makes that record unusable), and a later valid one of the key is taken up.

--- a/src/failover/leadership_record.cpp
+++ b/src/failover/leadership_record.cpp
@@ -17,6 +17,22 @@
         .dump();
 }
 
+std::string encode(const leader_key &key)
+{
+    return json{{"vm", key.vm}, {"peer", key.peer}, {"data_centre", key.data_centre}}.dump();
+}
+
+std::optional<leader_key> decode_leader_key(std::string_view text)
+{
+    try {
+        const auto fields = json::parse(text);
+        return leader_key{fields.at("vm").get<std::string>(), fields.at("peer").get<std::string>(),
+                          fields.value("data_centre", "")};
+    } catch (const json::exception &) {
+        return std::nullopt; // the caller logs it
+    }
+}
+
 std::optional<leadership_record> decode_leadership_record(std::string_view text)
 {
     try {
--- a/src/failover/leadership_record.h
+++ b/src/failover/leadership_record.h
@@ -27,7 +27,19 @@
     bool operator==(const leadership_record &) const = default;
 };
 
+/// What the leader key in the store says of the leader.
+struct leader_key
+{
+    std::string vm;
+    std::string peer; ///< `IP:PORT` at which it receives lease requests
+    std::string data_centre;
+};
+
 [[nodiscard]] std::string encode(const leadership_record &record);
+[[nodiscard]] std::string encode(const leader_key &key);
+
+/// Returns the key's fields, or none if the text is not a valid key.
+[[nodiscard]] std::optional<leader_key> decode_leader_key(std::string_view text);
 
 /// Returns the record, or none if the text is not a valid one.
 [[nodiscard]] std::optional<leadership_record> decode_leadership_record(std::string_view text);
--- a/src/failover/member_log.h
+++ b/src/failover/member_log.h
@@ -55,9 +55,9 @@
 
     void set(const inner::member &process, std::uint64_t version, bool present);
 
-    std::uint64_t generation_ = 0; ///< of the leader
-    std::uint64_t version_ = 0;    ///< all changes up to this version are included
-    std::uint64_t newest_ = 0;     ///< of the leader's list; never below `version_`
+    std::uint64_t generation_ = 0;                   ///< of the leader
+    std::uint64_t version_ = 0;                      ///< all changes up to this version are included
+    std::uint64_t newest_ = 0;                       ///< of the leader's list; never below `version_`
     std::map<std::string, entry> entries_;           ///< by address
     std::map<std::uint64_t, std::string> addresses_; ///< of `entries_`, by version
 };
--- a/src/platform/record_codec.cpp
+++ b/src/platform/record_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/record_codec.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string_view>
@@ -26,7 +27,22 @@
 
 milliseconds milliseconds_of(const json &fields, const char *name)
 {
-    return milliseconds(static_cast<std::int64_t>(fields.at(name).get<double>()));
+    const auto &value = fields.at(name);
+    const auto time = value.is_number() ? value.get<double>() : -1;
+    if (!(time >= 0 && time <= static_cast<double>(longest_time.count())))
+        throw std::runtime_error(std::string(name) + " is not a time of at most a day");
+    return milliseconds(static_cast<std::int64_t>(time));
+}
+
+/// Returns an integer from 0 to `limit`; throws for other numbers and types.
+std::uint64_t whole_number(const json &fields, const char *name, std::uint64_t limit)
+{
+    const auto &value = fields.at(name);
+    const bool negative = value.is_number_integer() && !value.is_number_unsigned();
+    if (!value.is_number_integer() || (negative && value.get<std::int64_t>() < 0) ||
+        value.get<std::uint64_t>() > limit)
+        throw std::runtime_error(std::string(name) + " is not a whole number up to " + std::to_string(limit));
+    return value.get<std::uint64_t>();
 }
 
 directory::route read_route(const json &fields)
@@ -48,8 +64,10 @@
 {
     directory::service out;
     out.name = fields.at("name").get<std::string>();
-    out.max_connections = fields.at("max_connections").get<std::uint32_t>();
-    out.sync_replicas = fields.value("sync_replicas", std::uint32_t{0});
+    out.max_connections =
+        static_cast<std::uint32_t>(whole_number(fields, "max_connections", max_connections));
+    if (fields.contains("sync_replicas"))
+        out.sync_replicas = static_cast<std::uint32_t>(whole_number(fields, "sync_replicas", max_slots));
     return out;
 }
 
@@ -71,15 +89,6 @@
     throw std::runtime_error("unknown role " + word);
 }
 
-/// Returns an integer of at least 0; throws for other numbers and types.
-std::uint64_t whole_number(const json &fields, const char *name)
-{
-    const auto &value = fields.at(name);
-    if (!value.is_number_integer() || value.get<std::int64_t>() < 0)
-        throw std::runtime_error(std::string(name) + " is not a whole number");
-    return value.get<std::uint64_t>();
-}
-
 } // namespace
 
 std::optional<directory::desired_state> read_desired_state(const std::string &value, std::string &reason)
@@ -115,11 +124,14 @@
         out.at = *at;
         out.state = instance_state_of(body.at("state").get<std::string>());
         out.role = role_of(body.at("db_role").get<std::string>());
-        out.slots = static_cast<std::uint32_t>(whole_number(body, "slots"));
+        out.slots = static_cast<std::uint32_t>(whole_number(body, "slots", max_slots));
+        if (out.slots == 0)
+            throw std::runtime_error("slots is 0");
         out.warm_up = milliseconds_of(body, "cold_remaining_ms");
         // `born` is the start time of the instance's process, not of its machine.
         if (body.contains("born"))
-            out.started_at = milliseconds(whole_number(body, "born"));
+            out.started_at =
+                milliseconds(whole_number(body, "born", std::numeric_limits<std::int64_t>::max()));
         if (out.id.empty() || out.service.empty())
             throw std::runtime_error("id or service is empty");
         return out;
--- a/src/platform/record_codec.h
+++ b/src/platform/record_codec.h
@@ -5,6 +5,8 @@
 #include "directory/desired_state.h"
 #include "directory/instance_record.h"
 
+#include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -14,6 +16,11 @@
 inline constexpr const char *desired_state_prefix = "op/";
 inline constexpr const char *instances_prefix = "servers/";
 
+/// Limits of what a record may name; anything beyond is another writer's mistake.
+inline constexpr std::uint32_t max_slots = 65535;
+inline constexpr std::uint32_t max_connections = 1000000;
+inline constexpr std::chrono::milliseconds longest_time = std::chrono::hours(24);
+
 /**
  * Returns the desired state, or none and the reason why the value is invalid.
  */
--- a/src/proxy/election_task_store.cpp
+++ b/src/proxy/election_task_store.cpp
@@ -5,7 +5,6 @@
 #include "support/json_log.h"
 #include "support/keys.h"
 
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace baobabport::proxy {
@@ -112,14 +111,14 @@
             continue;
         }
         if (it.key == leader_key) {
-            const auto fields = nlohmann::json::parse(it.value, nullptr, false);
-            if (!fields.is_object())
+            const auto key = failover::decode_leader_key(it.value);
+            if (!key)
                 support::log_warning("failover_duty_unreadable", {{"key", it.key}});
+            const auto leader = key.value_or(failover::leader_key{});
             leader_revision_ = it.revision;
-            leader_ = fields.is_object() ? fields.value("vm", "") : "";
-            leader_peer_ = support::parse_address(fields.is_object() ? fields.value("peer", "") : "")
-                               .value_or(support::address{});
-            leader_data_centre_ = fields.is_object() ? fields.value("data_centre", "") : "";
+            leader_ = leader.vm;
+            leader_peer_ = support::parse_address(leader.peer).value_or(support::address{});
+            leader_data_centre_ = leader.data_centre;
             leader_lease_ = it.lease;
         } else if (it.key == record_key) {
             const auto record = failover::decode_leadership_record(it.value);
@@ -194,9 +193,10 @@
     if (record.peer_key.empty())
         record.peer_key = support::to_base64(support::random_bytes(peer_key_bytes));
     platform::key_change change;
-    const nlohmann::json leader{{"vm", vm_}, {"peer", peer_.text()}, {"data_centre", data_centre_}};
+    const failover::leader_key leader{vm_, peer_.text(), data_centre_};
     change.conditions = {{leader_key, 0}, {record_key, record_revision_}};
-    change.writes = {{leader_key, leader.dump(), lease_}, {record_key, failover::encode(record), 0}};
+    change.writes = {{leader_key, failover::encode(leader), lease_},
+                     {record_key, failover::encode(record), 0}};
     const auto requested_at = support::boot_clock::now();
     store_.change(
         change, store_timeout, [this, before, record, requested_at, lease = lease_](const auto &reply) {
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -303,6 +303,8 @@
     metrics_.set("baobabport_store_calls", "", static_cast<double>(store_.calls()));
     metrics_.set("baobabport_store_silent_seconds", "",
                  std::chrono::duration<double>(store_unresponsive_for(now)).count());
+    metrics_.set("baobabport_unusable_instance_records", "", static_cast<double>(instance_list_.unusable()));
+    metrics_.set("baobabport_unreadable_datagrams", "", static_cast<double>(leases_->unreadable()));
     metrics_.set("baobabport_open_transactions", "",
                  static_cast<double>(local_executor_.open_transactions()));
     metrics_.set("baobabport_holds_failover_duty", "",
--- a/src/proxy/store_tasks.cpp
+++ b/src/proxy/store_tasks.cpp
@@ -246,6 +246,7 @@
         }
         records_.clear();
         pending_items_.clear();
+        pending_unusable_.clear();
         for (const auto &[key, value] : *items)
             add_record(key, value);
         finish_listing();
@@ -264,8 +265,8 @@
     auto record = platform::read_instance_record(key, value, reason);
     if (record) {
         records_.push_back(std::move(*record));
-    } else if (last_unusable_key_ != key) {
-        last_unusable_key_ = key;
+    } else if (pending_unusable_.size() < max_unusable_keys && pending_unusable_.insert(key).second &&
+               !unusable_keys_.count(key)) {
         log_warning("instance_record_unusable", {{"key", key}, {"reason", reason}});
     }
 }
@@ -275,6 +276,8 @@
     const bool empty = records_.empty();
     items_ = std::move(pending_items_);
     pending_items_.clear();
+    unusable_keys_ = std::move(pending_unusable_);
+    pending_unusable_.clear();
     listed_(std::move(records_));
     records_.clear();
     timer_.start(empty ? first_interval : interval);
@@ -286,6 +289,7 @@
     if (after.empty()) {
         records_.clear();
         pending_items_.clear();
+        pending_unusable_.clear();
     }
     store_.list(platform::instances_prefix, after, store_timeout,
                 [this](const platform::store_reply &reply) { apply(reply); });
--- a/src/proxy/store_tasks.h
+++ b/src/proxy/store_tasks.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -161,6 +162,11 @@
     /// Sets how to list the instances from another process.
     void set_peer_read(peer_read read) { peer_read_ = std::move(read); }
 
+    /// Returns the number of keys whose records could not be used when they were last listed.
+    [[nodiscard]] std::size_t unusable() const { return unusable_keys_.size(); }
+    /// Further unusable records are neither logged nor counted.
+    static constexpr std::size_t max_unusable_keys = 1024;
+
     /// Returns the items of the last complete listing.
     [[nodiscard]] const peer_items &items() const { return items_; }
 
@@ -194,7 +200,8 @@
     std::vector<directory::instance_record> records_; ///< of the listing in progress
     peer_items pending_items_;                        ///< of the listing in progress
     peer_items items_;
-    std::string last_unusable_key_;                        ///< already logged
+    std::set<std::string> pending_unusable_; ///< of the listing in progress
+    std::set<std::string> unusable_keys_;    ///< of records that were left out of the last one and logged
     std::chrono::steady_clock::time_point peer_report_at_; ///< newest listing with the same instances
     bool independent_ = false;
     bool listing_ = false;
--- a/src/support/cbor.cpp
+++ b/src/support/cbor.cpp
@@ -99,7 +99,8 @@
 nlohmann::json from_cbor(std::string_view bytes)
 {
     if (!is_nesting_within(bytes))
-        throw nlohmann::json::other_error::create(501, "not a message", nullptr); // NOLINT: as any other error
+        throw nlohmann::json::other_error::create(501, "not a message",
+                                                  nullptr); // NOLINT: as any other error
     return nlohmann::json::from_cbor(bytes.begin(), bytes.end());
 }
 
--- a/src/support/cbor.h
+++ b/src/support/cbor.h
@@ -20,7 +20,8 @@
 
 [[nodiscard]] std::string to_cbor(const nlohmann::json &message);
 
-/// Returns the decoded value; throws `nlohmann::json::exception` if the bytes are not CBOR or nest too deeply.
+/// Returns the decoded value; throws `nlohmann::json::exception` if the bytes are not CBOR or nest too
+/// deeply.
 [[nodiscard]] nlohmann::json from_cbor(std::string_view bytes);
 
 /// Returns the enumerator of the number; throws `nlohmann::json::exception` above `last`.
@@ -29,11 +30,13 @@
 {
     const auto value = field.get<std::uint64_t>();
     if (value > static_cast<std::uint64_t>(last))
-        throw nlohmann::json::other_error::create(501, "unknown value", nullptr); // NOLINT: as any other error
+        throw nlohmann::json::other_error::create(501, "unknown value",
+                                                  nullptr); // NOLINT: as any other error
     return static_cast<Enum>(value);
 }
 
-/// Returns the message that `read` takes from the decoded fields, or none if the bytes are not such a message.
+/// Returns the message that `read` takes from the decoded fields, or none if the bytes are not such a
+/// message.
 template <typename Message, typename Read>
 [[nodiscard]] std::optional<Message> decode_cbor(std::string_view bytes, const Read &read)
 {
--- a/src/support/json_fields.cpp
+++ b/src/support/json_fields.cpp
@@ -12,8 +12,21 @@
 
 constexpr std::size_t max_quoted_size = 60;
 
+/// Levels of a value that are quoted: writing it recurses into each one.
+constexpr std::size_t max_quoted_levels = 16;
+
+bool is_nested_beyond(const json &value, std::size_t levels)
+{
+    if (!value.is_structured())
+        return false;
+    return levels == 0 || std::any_of(value.begin(), value.end(),
+                                      [levels](const auto &it) { return is_nested_beyond(it, levels - 1); });
+}
+
 std::string abbreviated(const json &value)
 {
+    if (is_nested_beyond(value, max_quoted_levels))
+        return "a deeply nested value";
     auto out = value.dump(-1, ' ', false, json::error_handler_t::replace);
     if (out.size() > max_quoted_size)
         out = out.substr(0, max_quoted_size) + "...";
--- a/tests/failover/test_lease_relay.cpp
+++ b/tests/failover/test_lease_relay.cpp
@@ -70,8 +70,8 @@
     REQUIRE(searching);
     CHECK_FALSE(searching->acting);
     CHECK(searching->leases.empty());
-    CHECK_FALSE(relay.answer(request_of("front-9"), "10.0.0.9:7440", members,
-                             start + lease_relay::search_time));
+    CHECK_FALSE(
+        relay.answer(request_of("front-9"), "10.0.0.9:7440", members, start + lease_relay::search_time));
 }
 
 TEST_CASE("a relay of an earlier leader does not answer processes that follow a later one")
@@ -132,8 +132,7 @@
     CHECK(membership.list(start, version).size() == 2);
     CHECK(membership.followers_version("a:1") == 3);
     CHECK(membership.all_agree(start));
-    CHECK(membership
-              .list(start + membership_tracker::list_retention + milliseconds(1), version)
+    CHECK(membership.list(start + membership_tracker::list_retention + milliseconds(1), version)
               .empty()); // the relay is lost, and with it what it reported
 }
 
--- a/tests/platform/test_record_codec.cpp
+++ b/tests/platform/test_record_codec.cpp
@@ -107,3 +107,74 @@
     CHECK(reason.find("sometimes") != std::string::npos);
     CHECK_FALSE(platform::read_desired_state("", reason));
 }
+
+// Guards against processes that end, or stop following the list, because of one entry of another writer.
+TEST_CASE("an odd instance record is refused, whatever its fields hold")
+{
+    const std::vector<std::string> odd_values{"0",
+                                              "-1",
+                                              "65536",
+                                              "4294967296",
+                                              "18446744073709551616",
+                                              "1e999",
+                                              "1e300",
+                                              "-1e300",
+                                              "1.5",
+                                              "null",
+                                              "true",
+                                              "\"\"",
+                                              "\"1\"",
+                                              "\"10.0.0.9:0\"",
+                                              "\"10.0.0.9:65536\"",
+                                              "\"10.0.0.9:-1\"",
+                                              "\"10.0.0.9:x\"",
+                                              "[]",
+                                              "{}",
+                                              std::string(100000, '[') + std::string(100000, ']'),
+                                              "\"" + std::string(1000000, 'x') + "\"",
+                                              "\"\xff\xfe\""};
+    for (const auto *const field :
+         {"backend", "address", "zone", "slots", "state", "db_role", "cold_remaining_ms", "born"}) {
+        for (const auto &value : odd_values) {
+            auto body = instance();
+            body.erase(field);
+            auto text = body.dump();
+            text.back() = ',';
+            text += '"' + std::string(field) + "\":" + value + '}';
+            std::string reason;
+            std::optional<directory::instance_record> record;
+            INFO(field << ": " << value.substr(0, 40));
+            REQUIRE_NOTHROW(record = platform::read_instance_record("servers/i-1", text, reason));
+            if (!record) {
+                CHECK_FALSE(reason.empty());
+                continue;
+            }
+            CHECK(record->at.port > 0);
+            CHECK(record->slots >= 1);
+            CHECK(record->slots <= platform::max_slots);
+            CHECK(record->warm_up >= std::chrono::milliseconds(0));
+            CHECK(record->warm_up <= platform::longest_time);
+        }
+    }
+    std::string reason;
+    for (const auto *const text : {"", " ", "null", "7", "\"x\"", "[]", "{}", "{\"slots\":1,\"slots\":2}"})
+        CHECK_FALSE(platform::read_instance_record("servers/i-1", text, reason));
+}
+
+TEST_CASE("times and numbers of a desired state that are out of range are refused")
+{
+    std::string reason;
+    for (const auto *const field : {"timeout_ms", "target_latency_ms", "max_staleness_ms"}) {
+        for (const double value : {-1.0, 1e300, -1e300}) {
+            auto body = desired();
+            body["routes"][0][field] = value;
+            INFO(field << ' ' << value);
+            CHECK_FALSE(platform::read_desired_state(body.dump(), reason));
+        }
+    }
+    for (const double value : {-1.0, 1e12}) {
+        auto body = desired();
+        body["backends"][0]["max_connections"] = value;
+        CHECK_FALSE(platform::read_desired_state(body.dump(), reason));
+    }
+}
