A leader key without a store lease is replaced by the next leader

Cause: a key of another writer under the leader's name, without a lease, counted as a leader that never answers: no process could be elected until somebody removed it.

Change: leader keys always have a lease; one without is logged, and the next leader's key replaces it on condition of its revision.

Test: "an odd leader key of another writer is replaced by the next leader", with four odd values, and a write that succeeds afterwards.

--- a/src/proxy/election_task.h
+++ b/src/proxy/election_task.h
@@ -176,7 +176,10 @@
     inner::timer election_timer_;
     store_backoff backoff_;
     std::uint64_t revision_ = 0;
-    std::uint64_t leader_revision_ = 0;  ///< 0: there is no leader
+    std::uint64_t leader_revision_ = 0; ///< 0: there is no leader
+    /// Revision of a leader key without a store lease, which no leader wrote and which would stay for good;
+    /// the next leader replaces it. 0: none.
+    std::uint64_t foreign_key_revision_ = 0;
     std::uint64_t record_revision_ = 0;  ///< 0: the store has no record yet
     failover::leadership_record record_; ///< as in the store; its generation never decreases
     std::string leader_;
--- a/src/proxy/election_task_store.cpp
+++ b/src/proxy/election_task_store.cpp
@@ -56,6 +56,7 @@
         }
         revision_ = reply.revision;
         leader_revision_ = 0;
+        foreign_key_revision_ = 0;
         record_revision_ = 0; // the generation itself is kept: it never decreases
         leader_.clear();
         read_keys(reply);
@@ -107,15 +108,20 @@
     for (const auto &it : reply.items) {
         if (it.removed) {
             if (it.key == leader_key)
-                leader_revision_ = 0;
+                leader_revision_ = foreign_key_revision_ = 0;
             continue;
         }
-        if (it.key == leader_key) {
+        if (it.key == leader_key && it.lease == 0) {
+            support::log_warning("failover_duty_unreadable", {{"key", it.key}});
+            leader_revision_ = 0;
+            foreign_key_revision_ = it.revision;
+        } else if (it.key == leader_key) {
             const auto key = failover::decode_leader_key(it.value);
             if (!key)
                 support::log_warning("failover_duty_unreadable", {{"key", it.key}});
             const auto leader = key.value_or(failover::leader_key{});
             leader_revision_ = it.revision;
+            foreign_key_revision_ = 0;
             leader_ = leader.vm;
             leader_peer_ = support::parse_address(leader.peer).value_or(support::address{});
             leader_data_centre_ = leader.data_centre;
@@ -194,7 +200,7 @@
         record.peer_key = support::to_base64(support::random_bytes(peer_key_bytes));
     platform::key_change change;
     const failover::leader_key leader{vm_, peer_.text(), data_centre_};
-    change.conditions = {{leader_key, 0}, {record_key, record_revision_}};
+    change.conditions = {{leader_key, foreign_key_revision_}, {record_key, record_revision_}};
     change.writes = {{leader_key, failover::encode(leader), lease_},
                      {record_key, failover::encode(record), 0}};
     const auto requested_at = support::boot_clock::now();
--- a/tests/inner/test_decoders.cpp
+++ b/tests/inner/test_decoders.cpp
@@ -91,34 +91,44 @@
 {
     const auto ignore = [](const auto &) {};
     return {
-        {"lease request", {inner::encode(lease_request())},
+        {"lease request",
+         {inner::encode(lease_request())},
          [=](const auto &it) { ignore(inner::decode_lease_request(it)); }},
-        {"lease answer", {inner::encode(lease_answer())},
+        {"lease answer",
+         {inner::encode(lease_answer())},
          [=](const auto &it) { ignore(inner::decode_lease_answer(it)); }},
-        {"execute request", {inner::encode(execute_request())},
+        {"execute request",
+         {inner::encode(execute_request())},
          [=](const auto &it) { ignore(inner::decode_execute_request(it)); }},
-        {"execute answer", {inner::encode(execute_answer())},
+        {"execute answer",
+         {inner::encode(execute_answer())},
          [=](const auto &it) { ignore(inner::decode_execute_answer(it)); }},
-        {"directory answer", {inner::encode(inner::directory_answer{true, {{"servers/i-1", "{}"}}})},
+        {"directory answer",
+         {inner::encode(inner::directory_answer{true, {{"servers/i-1", "{}"}}})},
          [=](const auto &it) {
              ignore(inner::decode_directory_answer(it));
              ignore(inner::decode_directory_request(it));
          }},
-        {"statement between entry and pooler", {inner::encode(inner::statement_request{})},
+        {"statement between entry and pooler",
+         {inner::encode(inner::statement_request{})},
          [=](const auto &it) { ignore(inner::decode<inner::statement_request>(it)); }},
-        {"instance record", {instance_record},
+        {"instance record",
+         {instance_record},
          [=](const auto &it) {
              std::string reason;
              ignore(platform::read_instance_record("servers/i-1", it, reason));
          }},
-        {"desired state", {desired_state},
+        {"desired state",
+         {desired_state},
          [=](const auto &it) {
              std::string reason;
              ignore(platform::read_desired_state(it, reason));
          }},
-        {"leadership record", {failover::encode(failover::leadership_record{4, true, "key", 3, "a", "b"})},
+        {"leadership record",
+         {failover::encode(failover::leadership_record{4, true, "key", 3, "a", "b"})},
          [=](const auto &it) { ignore(failover::decode_leadership_record(it)); }},
-        {"leader key", {failover::encode(failover::leader_key{"front-1", "10.0.0.1:7440", "erie"})},
+        {"leader key",
+         {failover::encode(failover::leader_key{"front-1", "10.0.0.1:7440", "erie"})},
          [=](const auto &it) { ignore(failover::decode_leader_key(it)); }},
         {"answer of the store",
          {R"({"items":[{"key":"servers/i-1","value":"e30=","revision":4,"lease_id":0}],"has_more":false,"as_of":9})"},
@@ -128,7 +138,8 @@
              answer.body = it;
              ignore(platform::read_reply(answer));
          }},
-        {"line of a caller", {"CONNECT db u1", "QUERY 5c0e EXECUTE s1 1a4 x y", "QUIT"},
+        {"line of a caller",
+         {"CONNECT db u1", "QUERY 5c0e EXECUTE s1 1a4 x y", "QUIT"},
          [=](const auto &it) { ignore(platform::read_caller_line(it)); }},
         {"line of an instance",
          {"READY T 3.1209", "ROW replica 3 3.1209 0 12 2 17", "COMPLETE 7.1f3", "ERROR LAGGING 3.4"},
@@ -165,10 +176,13 @@
 TEST_CASE("deeply nested messages are refused by every decoder")
 {
     for (const std::size_t depth : {std::size_t{1000}, std::size_t{60000}, std::size_t{1000000}}) {
-        const std::vector<std::string> nested{
-            std::string(depth, '\x81'), std::string(depth, '\xc1'), std::string(depth, '\x9f'),
-            std::string(depth, '['),    std::string(depth, '[') + std::string(depth, ']'),
-            R"({"backend":)" + std::string(depth, '[') + std::string(depth, ']') + '}'};
+        const std::vector<std::string> nested{std::string(depth, '\x81'),
+                                              std::string(depth, '\xc1'),
+                                              std::string(depth, '\x9f'),
+                                              std::string(depth, '['),
+                                              std::string(depth, '[') + std::string(depth, ']'),
+                                              R"({"backend":)" + std::string(depth, '[') +
+                                                  std::string(depth, ']') + '}'};
         for (const auto &it : decoders()) {
             for (const auto &bytes : nested) {
                 INFO(it.name);
--- a/tests/proxy/test_leader_election.cpp
+++ b/tests/proxy/test_leader_election.cpp
@@ -223,3 +223,24 @@
     CHECK(site.wait_until([&] { return !site.orders.empty(); }, milliseconds(10000)));
     site.check_order_separation();
 }
+
+// Guards against a fleet that ends, or stays without a leader, because of one key of another writer.
+TEST_CASE("an odd leader key of another writer is replaced by the next leader")
+{
+    election_site site;
+    const std::string key = "baobabport/failover/holder";
+    for (const auto *const odd :
+         {R"({"vm":7,"peer":[]})", "", "[[[[", R"({"vm":"x","peer":"1.2.3.4:99999"})"}) {
+        INFO(odd);
+        site.store->put(key, odd);
+        CHECK(site.wait_until(
+            [&] {
+                const auto value = site.store->value(key);
+                return value != odd && site.leader().starts_with("front-");
+            },
+            milliseconds(6000)));
+    }
+    site.run_for(milliseconds(2000));
+    const auto caller = site.session("main");
+    CHECK(site.ask(*caller, "WRITE x 1").starts_with("COMPLETE mac"));
+}
