The leader asks a primary itself while it refreshes the position that it reports

Cause: a status request through an instance's home kept a direct one from being sent.

Change: direct requests and those through the home are tracked apart, and the leader refreshes directly.

--- a/src/proxy/group_task.h
+++ b/src/proxy/group_task.h
@@ -111,7 +111,11 @@
     void request_floor(milliseconds max_age, time_point now);
 
     /// Records that other processes rely on the log position that this one, the leader, reports.
-    void request_reported_position(time_point now) { request_floor(max_reported_age, now); }
+    void request_reported_position(time_point now)
+    {
+        position_reported_at_ = now;
+        request_floor(max_reported_age, now);
+    }
 
     /// Calls the hook once the primary is confirmed or superseded, or at the request's deadline.
     void confirm(const confirmation_request &request, std::function<void(confirmation_result)> done);
@@ -151,7 +155,8 @@
     void command(const std::string &id, const std::string &text, report_hook done,
                  std::function<bool()> still_valid = nullptr);
 
-    /// Requests a report of the instance: directly, or through its home process.
+    /// Requests a report of the instance: directly, or through its home process. Only a direct request shows
+    /// whether this process reaches the instance; each of the two is sent once at a time.
     void probe(const std::string &id, bool directly = false);
 
     /// Returns true while statements wait for a primary or for its log position.
@@ -163,6 +168,11 @@
     [[nodiscard]] std::size_t waiting_confirmations() const { return confirmations_.size(); }
 
 private:
+    struct status_request
+    {
+        time_point sent_at;
+        bool in_flight = false;
+    };
     struct member
     {
         directory::instance_record record;
@@ -170,9 +180,9 @@
         std::optional<time_point> unanswered_since;
         time_point answered_at;
         time_point excluded_until;
-        time_point probe_sent;
+        status_request through_home;
+        status_request direct;
         std::uint32_t in_flight = 0;
-        bool probing = false;
         bool refuses = false; ///< nothing listens at its address, or another instance does
         bool failing = false; ///< a failure since its last answer was logged
     };
@@ -210,6 +220,7 @@
     std::list<waiting_confirmation> confirmations_;
     std::list<condition_waiter> conditions_;
     time_point floor_requested_at_;
+    time_point position_reported_at_;  ///< when this process last reported the position to others
     milliseconds floor_age_{0};        ///< the lowest age requested within `floor_refresh_period`
     time_point last_leader_update_at_; ///< when a lease that names the primary was last received
     time_point lease_until_;
--- a/src/proxy/group_task_requests.cpp
+++ b/src/proxy/group_task_requests.cpp
@@ -57,18 +57,20 @@
 {
     const auto found = members_.find(id);
     const auto now = clock_type::now();
-    if (found == members_.end() || (found->second.probing && now - found->second.probe_sent < probe_timeout))
+    if (found == members_.end())
         return;
-    found->second.probing = true;
-    found->second.probe_sent = now;
+    auto &request = directly ? found->second.direct : found->second.through_home;
+    if (request.in_flight && now - request.sent_at < probe_timeout)
+        return;
+    request = {now, true};
     const std::weak_ptr<group_task *> weak = self_;
-    const report_hook done = [weak, id](const auto &report) {
+    const report_hook done = [weak, id, directly](const auto &report) {
         const auto self = weak.lock();
         if (!self)
             return;
         const auto it = (*self)->members_.find(id);
         if (it != (*self)->members_.end())
-            it->second.probing = false;
+            (directly ? it->second.direct : it->second.through_home).in_flight = false;
         // Without a report, the next tick sends the next request: a failure may be reported synchronously.
         if (report)
             (*self)->query_replicas(clock_type::now());
@@ -162,7 +164,8 @@
         return;
     for (const auto &id : replicas_by_preference(now)) {
         const auto &it = members_.at(id);
-        const bool overdue = it.probing && now - it.probe_sent >= second_replica_delay;
+        const bool overdue =
+            it.through_home.in_flight && now - it.through_home.sent_at >= second_replica_delay;
         probe(id);
         if (!overdue)
             break;
@@ -194,7 +197,8 @@
         return;
     if (state_.floor_at(now - floor_age_))
         return;
-    probe(*state_.primary());
+    const bool reports = now - position_reported_at_ <= floor_refresh_period;
+    probe(*state_.primary(), reports);
     const auto replicas = replicas_by_preference(now);
     if (!replicas.empty() && !has_lease(now))
         probe(replicas.front());
--- a/tests/proxy/test_instance_pool.cpp
+++ b/tests/proxy/test_instance_pool.cpp
@@ -174,3 +174,34 @@
     event_base_loop(base, EVLOOP_NONBLOCK);
     event_base_free(base);
 }
+
+// Guards against a dark primary that is never replaced: the leader's status requests through the instance's
+// home kept it from asking the instance itself, and only that shows it whether the primary answers.
+TEST_CASE("the leader asks a primary itself while it refreshes the position that it reports")
+{
+    auto *const base = event_base_new();
+    {
+        stalled_listener instance;
+        proxy::statement_executor silent_homes;
+        silent_homes.home_of = [](const auto &, const auto &) { return "front-2"; };
+        silent_homes.execute = [](const auto &, auto, auto) {};
+        proxy::group_task group(base, silent_homes, {"db", "proxy", "erie"});
+        directory::instance_record record;
+        record.id = "i-1";
+        record.service = "db";
+        record.at = instance.at();
+        group.set_members({record}, 4);
+        auto now = clock_type::now();
+        group.handle_lease({"db", "i-1", 1, {1, 5}, milliseconds(5000), false}, now);
+        group.request_reported_position(now);
+        group.tick(now);
+        group.probe("i-1", true); // as the replacement of primaries does
+        REQUIRE(run_until(base, [&] { return instance.accepted(); }));
+        now = clock_type::now() + milliseconds(1000);
+        const auto snapshot = group.snapshot(now);
+        REQUIRE(snapshot.members.size() == 1);
+        CHECK(snapshot.members.front().unresponsive_for >= milliseconds(1000));
+    }
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    event_base_free(base);
+}
