A leader that starts again leads at once; VMs that do not know each other leave connections to all

Until the list of processes arrived, 2 s after the start, each VM opened connections to the instances itself: 38,736 were refused.

Change: - A leader key that this process's predecessor wrote, at the same VM and address, is replaced at once: the predecessor has ended.

Tests: "a leader that starts again leads at once and needs no witness", test_connection_share.

--- a/src/failover/leadership_record.cpp
+++ b/src/failover/leadership_record.cpp
@@ -13,7 +13,8 @@
                 {"peer_key", record.peer_key},
                 {"standing_generation", record.autonomous_generation},
                 {"standing_holder", record.autonomous_leader},
-                {"ordered_by", record.ordered_by}}
+                {"ordered_by", record.ordered_by},
+                {"fleet_size", record.fleet_size}}
         .dump();
 }
 
@@ -45,6 +46,7 @@
         out.autonomous_generation = fields.value("standing_generation", out.generation);
         out.autonomous_leader = fields.value("standing_holder", "");
         out.ordered_by = fields.value("ordered_by", "unknown");
+        out.fleet_size = fields.value("fleet_size", std::uint32_t{0});
         return out;
     } catch (const json::exception &) {
         return std::nullopt; // the caller logs it
--- a/src/failover/leadership_record.h
+++ b/src/failover/leadership_record.h
@@ -24,6 +24,8 @@
     /// `leadership_takeover::order_separation`; empty: none.
     std::string ordered_by;
 
+    std::uint32_t fleet_size = 0; ///< processes that the leader listed, roughly; 0: not known
+
     bool operator==(const leadership_record &) const = default;
 };
 
--- a/src/proxy/election_task.cpp
+++ b/src/proxy/election_task.cpp
@@ -4,6 +4,8 @@
 
 #include "support/boot_clock.h"
 
+#include <cmath>
+
 namespace baobabport::proxy {
 
 using failover::membership_tracker;
@@ -60,6 +62,14 @@
     return own_generation_;
 }
 
+void election_task::set_fleet_size(std::size_t processes)
+{
+    constexpr double recorded_change = 0.2; // of the recorded size; smaller changes are not worth a call
+    const auto recorded = static_cast<double>(record_.fleet_size);
+    if (std::abs(static_cast<double>(processes) - recorded) > recorded * recorded_change)
+        fleet_size_ = static_cast<std::uint32_t>(processes);
+}
+
 void election_task::record_order(time_point now)
 {
     last_order_at_ = now;
--- a/src/proxy/election_task.h
+++ b/src/proxy/election_task.h
@@ -121,6 +121,12 @@
     /// processes.
     [[nodiscard]] std::optional<std::uint64_t> promotion_generation(time_point now) const;
 
+    /// Sets the number of processes that this leader lists; recorded once it differs much from the record.
+    void set_fleet_size(std::size_t processes);
+
+    /// Returns the number of processes as last recorded by a leader; 0: not known.
+    [[nodiscard]] std::uint32_t recorded_fleet_size() const { return record_.fleet_size; }
+
     /// Sets the function that returns whether all processes that this leader has answered agree that it
     /// continues without the store.
     void set_agreement_check(std::function<bool(time_point)> check) { peers_agree_ = std::move(check); }
@@ -154,6 +160,7 @@
     void lose_leadership(const char *reason);
     void release_leadership();
     void schedule_retry(std::chrono::milliseconds delay);
+    void read_leader_key(const platform::stored_item &item);
     void read_keys(const platform::store_reply &reply);
     void check_store(time_point now);
     [[nodiscard]] failover::leadership_record desired_record(time_point now) const;
@@ -177,9 +184,9 @@
     store_backoff backoff_;
     std::uint64_t revision_ = 0;
     std::uint64_t leader_revision_ = 0; ///< 0: there is no leader
-    /// Revision of a leader key without a store lease, which no leader wrote and which would stay for good;
-    /// the next leader replaces it. 0: none.
-    std::uint64_t foreign_key_revision_ = 0;
+    /// Revision of a leader key that the next leader replaces, 0: none. Either it has no store lease, so that
+    /// no leader wrote it and it would stay for good, or this process's predecessor wrote it.
+    std::uint64_t replaceable_key_revision_ = 0;
     std::uint64_t record_revision_ = 0;  ///< 0: the store has no record yet
     failover::leadership_record record_; ///< as in the store; its generation never decreases
     std::string leader_;
@@ -204,6 +211,7 @@
     std::optional<leader_endpoint> relayed_leader_; ///< as a relay names it
     time_point record_sent_at_;                     ///< when the record was last sent
     time_point record_changed_at_;                  ///< when the store confirmed its last change
+    std::uint32_t fleet_size_ = 0;                  ///< that this leader lists
     std::uint64_t own_generation_ = 0;              ///< of this process's last leadership
     std::optional<time_point> last_order_at_;       ///< last promotion order, given or about to be given
     failover::leadership_validity validity_;
--- a/src/proxy/election_task_store.cpp
+++ b/src/proxy/election_task_store.cpp
@@ -56,7 +56,7 @@
         }
         revision_ = reply.revision;
         leader_revision_ = 0;
-        foreign_key_revision_ = 0;
+        replaceable_key_revision_ = 0;
         record_revision_ = 0; // the generation itself is kept: it never decreases
         leader_.clear();
         read_keys(reply);
@@ -108,24 +108,11 @@
     for (const auto &it : reply.items) {
         if (it.removed) {
             if (it.key == leader_key)
-                leader_revision_ = foreign_key_revision_ = 0;
+                leader_revision_ = replaceable_key_revision_ = 0;
             continue;
         }
-        if (it.key == leader_key && it.lease == 0) {
-            support::log_warning("failover_duty_unreadable", {{"key", it.key}});
-            leader_revision_ = 0;
-            foreign_key_revision_ = it.revision;
-        } else if (it.key == leader_key) {
-            const auto key = failover::decode_leader_key(it.value);
-            if (!key)
-                support::log_warning("failover_duty_unreadable", {{"key", it.key}});
-            const auto leader = key.value_or(failover::leader_key{});
-            leader_revision_ = it.revision;
-            foreign_key_revision_ = 0;
-            leader_ = leader.vm;
-            leader_peer_ = support::parse_address(leader.peer).value_or(support::address{});
-            leader_data_centre_ = leader.data_centre;
-            leader_lease_ = it.lease;
+        if (it.key == leader_key) {
+            read_leader_key(it);
         } else if (it.key == record_key) {
             const auto record = failover::decode_leadership_record(it.value);
             record_readable_ = record.has_value();
@@ -140,6 +127,25 @@
     }
 }
 
+void election_task::read_leader_key(const platform::stored_item &item)
+{
+    const auto key = failover::decode_leader_key(item.value);
+    if (!key || item.lease == 0)
+        support::log_warning("failover_duty_unreadable", {{"key", item.key}});
+    const auto leader = key.value_or(failover::leader_key{});
+    // This process's predecessor at the same VM and address has ended: there is no need to wait for its
+    // lease.
+    const bool of_predecessor =
+        !is_leader_ && leader.vm == vm_ && leader.peer == peer_.text() && item.lease != lease_;
+    const bool replaceable = item.lease == 0 || of_predecessor;
+    leader_revision_ = replaceable ? 0 : item.revision;
+    replaceable_key_revision_ = replaceable ? item.revision : 0;
+    leader_ = leader.vm;
+    leader_peer_ = support::parse_address(leader.peer).value_or(support::address{});
+    leader_data_centre_ = leader.data_centre;
+    leader_lease_ = item.lease;
+}
+
 void election_task::watch()
 {
     const auto number = ++watch_number_;
@@ -200,7 +206,7 @@
         record.peer_key = support::to_base64(support::random_bytes(peer_key_bytes));
     platform::key_change change;
     const failover::leader_key leader{vm_, peer_.text(), data_centre_};
-    change.conditions = {{leader_key, foreign_key_revision_}, {record_key, record_revision_}};
+    change.conditions = {{leader_key, replaceable_key_revision_}, {record_key, record_revision_}};
     change.writes = {{leader_key, failover::encode(leader), lease_},
                      {record_key, failover::encode(record), 0}};
     const auto requested_at = support::boot_clock::now();
@@ -278,6 +284,8 @@
 leadership_record election_task::desired_record(time_point now) const
 {
     auto out = record_;
+    if (fleet_size_ != 0)
+        out.fleet_size = fleet_size_;
     if (takeover_.is_exclusive(now)) {
         out.autonomous_generation = own_generation_;
         out.autonomous_leader = self();
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -16,8 +16,6 @@
 namespace {
 
 constexpr std::size_t max_admin_body = 4096; ///< bytes
-/// The home's share of an instance's connections; the rest is left to the next home and to the leader.
-constexpr std::uint32_t home_share_percent = 70;
 
 std::string text_of(const std::optional<support::address> &at)
 {
@@ -146,8 +144,12 @@
 
 std::uint32_t proxy_task::connection_limit(const std::string &service) const
 {
-    const auto *const service_config = routes_.find_service(service);
-    return service_config ? std::max(1U, service_config->max_connections * home_share_percent / 100) : 1U;
+    const auto *const config = routes_.find_service(service);
+    admission::connection_share share;
+    share.max_connections = config ? config->max_connections : 1;
+    share.fleet_size = election_ ? election_->recorded_fleet_size() : 0;
+    share.homes_known = !known_members_.empty();
+    return share.limit(std::chrono::duration_cast<milliseconds>(clock_type::now() - started_at_));
 }
 
 void proxy_task::update_groups()
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "admission/connection_share.h"
 #include "directory/instance_directory.h"
 #include "directory/route_table.h"
 #include "failover/lease_relay.h"
@@ -129,6 +130,8 @@
     std::optional<http::http_server> metrics_server_;
     std::optional<support::listener> listener_;
     inner::timer timer_;
+    time_point started_at_ = support::boot_clock::now();
+    bool isolated_ = false; ///< it has known no other process since it started
     std::optional<time_point> draining_since_;
 };
 
--- a/src/proxy/proxy_task_peers.cpp
+++ b/src/proxy/proxy_task_peers.cpp
@@ -58,6 +58,11 @@
     local_executor_.tick(now, routes_.state().transaction_idle * 2);
     if (!election_)
         return;
+    if (!isolated_ && known_members_.empty() &&
+        now - started_at_ >= admission::connection_share::isolation_delay) {
+        isolated_ = true;
+        update_groups();
+    }
     if (!peers_ && !election_->peer_key().empty()) {
         peers_.emplace(
             base_,
@@ -75,12 +80,16 @@
     members_version_ = version;
     members.push_back({settings_.process, settings_.data_centre, settings_.peers.text()});
     member_log_.update(members);
+    election_->set_fleet_size(members.size());
     update_members(std::move(members));
 }
 
 void proxy_task::update_members(std::vector<inner::member> members)
 {
+    const bool homes_were_known = !known_members_.empty();
     known_members_ = std::move(members);
+    if (!homes_were_known)
+        update_groups(); // with the connection limit of a home
     if (peers_)
         peers_->set_members(known_members_);
     log_event("members_known", {{"members", std::to_string(known_members_.size())}});
@@ -150,6 +159,8 @@
     out.number = request.number;
     out.leader_timestamp = inner::timestamp_of(now);
     out.acting = election_->acting_generation(now).has_value();
+    // Also of a process that is referred to a relay: it may be the earlier leader, started again.
+    election_->handle_follower_request(request, from, now);
     if (out.acting && request.accepts_relay && !request.vm.empty()) {
         const bool must_answer = membership_.was_answered(from.text()) || election_->needs_report_of(request);
         out.relays = relay_assignment_.relays_for(from.text(), request.data_centre, must_answer, now);
@@ -244,7 +255,6 @@
 void proxy_task::track_follower(const inner::lease_request &request, const support::address &from,
                                 time_point now)
 {
-    election_->handle_follower_request(request, from, now);
     if (request.vm.empty()) {
         membership_.remove_member(from.text());
         relay_assignment_.remove(from.text());
--- a/tests/proxy/test_leader_election.cpp
+++ b/tests/proxy/test_leader_election.cpp
@@ -244,3 +244,44 @@
     const auto caller = site.session("main");
     CHECK(site.ask(*caller, "WRITE x 1").starts_with("COMPLETE mac"));
 }
+
+// Guards against 30 s without leases after all processes have lost power: none is left that could testify
+// that the earlier leader has stopped.
+TEST_CASE("a leader that starts again leads at once and needs no witness")
+{
+    election_site site;
+    const auto settings = site.settings();
+    const auto key = site.store->value("baobabport/failover/holder");
+    site.proxy.reset();
+    site.second.reset();
+    site.third.reset();
+    site.proxy.emplace(site.base, settings, [] {});
+    // Its predecessor's lease would end only after `lease_time`.
+    const auto lease_time = baobabport::proxy::election_task::lease_time;
+    CHECK(site.wait_until(
+        [&] {
+            return site.leader() == "front-1" && site.store->value("baobabport/failover/holder") == key &&
+                   site.store->value("baobabport/failover/generation").find("\"generation\":2") !=
+                       std::string::npos;
+        },
+        lease_time - milliseconds(900)));
+    bool granted = false;
+    baobabport::proxy::lease_task follower(
+        site.base, free_address(),
+        {[&settings] {
+             return baobabport::proxy::leader_endpoint{"front-1", "erie", settings.peers, 2};
+         },
+         [](const auto &, const auto &) { return std::nullopt; },
+         [](auto &request) { request.vm = "front-9"; },
+         [&granted](const auto &answer, auto) {
+             for (const auto &it : answer.leases)
+                 granted = granted || it.granted;
+         }});
+    const auto tick = [&] { follower.tick(baobabport::support::boot_clock::now(), false); };
+    CHECK(site.wait_until(
+        [&] {
+            tick();
+            return granted;
+        },
+        milliseconds(4000)));
+}
