Durations without the wait for a connection; changes of the list spread quickly

Cause: after a restart each first statement waits for a new connection. The scheduler took that for the statement's duration, so that later ones were refused as too late although the instance was nearly idle. And the list of processes took 1.15 s from the leader's election to reach all of 295.

Change: a statement's duration counts from its connection; processes whose list has changed within 500 ms, and relays with an unreported change, ask every 60 ms.

The new test of the scheduler failed before (expected wait 607 ms in place of at most 10 ms).

--- a/src/admission/slot_scheduler.cpp
+++ b/src/admission/slot_scheduler.cpp
@@ -49,6 +49,13 @@
     return queue_.push(queued, queue_limits()) ? slot_decision::wait : slot_decision::refuse;
 }
 
+void slot_scheduler::connected(std::uint64_t key, time_point now)
+{
+    const auto it = running_.find(key);
+    if (it != running_.end())
+        it->second.since = now;
+}
+
 void slot_scheduler::finished(std::uint64_t key, bool answered, time_point now)
 {
     const auto it = running_.find(key);
--- a/src/admission/slot_scheduler.h
+++ b/src/admission/slot_scheduler.h
@@ -47,6 +47,9 @@
     /// Submits a statement; it runs now, waits until `next` or `expired` returns it, or is refused.
     slot_decision submit(const slot_request &request, time_point now);
 
+    /// Records that a running statement has got its connection; its duration counts from now.
+    void connected(std::uint64_t key, time_point now);
+
     /// Records the end of a running statement. Its duration is a sample only if it was answered.
     void finished(std::uint64_t key, bool answered, time_point now);
 
--- a/src/failover/lease_relay.h
+++ b/src/failover/lease_relay.h
@@ -50,6 +50,9 @@
     /// Adds to a request to the leader what this process reports as a relay.
     void fill_request(inner::lease_request &request, time_point now);
 
+    /// Returns true if this process, as a relay, has to report a change of its followers.
+    [[nodiscard]] bool report_pending() const { return last_ && reported_version_ != version_at_leader_; }
+
 private:
     struct follower
     {
--- a/src/proxy/local_executor.cpp
+++ b/src/proxy/local_executor.cpp
@@ -146,6 +146,9 @@
             return;
         }
         self->connection_ = connection;
+        const auto scheduler = self->state_->schedulers.find(self->request_.instance);
+        if (scheduler != self->state_->schedulers.end())
+            scheduler->second.connected(self->key_, clock_type::now());
         self->prepare();
     });
 }
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -186,7 +186,8 @@
     tick_peers(now);
     const bool urgent = std::any_of(groups_.begin(), groups_.end(),
                                     [](const auto &it) { return it.second->waits_for_primary(); });
-    leases_->tick(now, urgent || relays_named_ || !member_log_.complete());
+    const bool list_changes = !member_log_.complete() || now - members_changed_at_ < list_change_period;
+    leases_->tick(now, urgent || relays_named_ || list_changes || relay_.report_pending());
     for (const auto &it : groups_)
         it.second->tick(now);
     for (const auto &it : failovers_)
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -42,6 +42,9 @@
     static constexpr std::chrono::milliseconds tick_interval{15};
     /// Time until the balancer sends no more sessions: it needs two failed probes, a second apart.
     static constexpr std::chrono::milliseconds balancer_delay{2200};
+    /// For this long after a change of the member list, requests follow each other quickly: after a restart
+    /// of many processes the next changes are on their way.
+    static constexpr std::chrono::milliseconds list_change_period{500};
     /// Sessions are closed this long before the process would be killed.
     static constexpr std::chrono::milliseconds shutdown_reserve{700};
 
@@ -120,6 +123,7 @@
     local_executor local_executor_;
     std::optional<peer_task> peers_; ///< from when the processes' shared key is known
     std::vector<inner::member> known_members_;
+    time_point members_changed_at_;
     std::uint64_t members_version_ = 0; ///< of `membership_`, or of an older build's list
     statement_executor executor_;
     session_environment environment_;
--- a/src/proxy/proxy_task_peers.cpp
+++ b/src/proxy/proxy_task_peers.cpp
@@ -88,6 +88,7 @@
 {
     const bool homes_were_known = !known_members_.empty();
     known_members_ = std::move(members);
+    members_changed_at_ = clock_type::now();
     if (!homes_were_known)
         update_groups(); // with the connection limit of a home
     if (peers_)
--- a/tests/admission/test_slot_scheduler.cpp
+++ b/tests/admission/test_slot_scheduler.cpp
@@ -115,3 +115,23 @@
     CHECK(it.next(resumed_at).empty());
     CHECK(it.expired(resumed_at) == std::vector<std::uint64_t>{3});
 }
+
+// Guards against refusals after a restart: statements that waited for a new connection made all later ones
+// look as slow as that.
+TEST_CASE("the time in which a statement waits for its connection is not part of its duration")
+{
+    slot_scheduler it(2);
+    for (std::uint64_t key = 1; key <= 3; ++key) {
+        REQUIRE(it.submit(make(key, 1, milliseconds(1000)), start) == slot_decision::run);
+        it.connected(key, start + milliseconds(400)); // the connections are open
+    }
+    for (std::uint64_t key = 1; key <= 3; ++key)
+        it.finished(key, true, start + milliseconds(405));
+    const auto later = start + milliseconds(500);
+    for (std::uint64_t key = 11; key <= 13; ++key)
+        REQUIRE(it.submit(make(key, 1, milliseconds(1000)), later) == slot_decision::run);
+    CHECK(it.expected_wait(1, later) <= milliseconds(10)); // of three statements of 5 ms on two slots
+    auto hurried = make(14, 1, milliseconds(0));
+    hurried.wait_until = later + milliseconds(60);
+    CHECK(it.submit(hurried, later) == slot_decision::wait);
+}
