--- a/src/failover/membership_tracker.cpp
+++ b/src/failover/membership_tracker.cpp
@@ -63,6 +63,7 @@
             by_address.try_emplace(follower.address, follower);
     }
     std::vector<inner::member> recent;
+    recent.reserve(by_address.size());
     for (auto &it : by_address)
         recent.push_back(std::move(it.second));
     if (recent != list_) {
--- a/tests/proxy/test_local_executor.cpp
+++ b/tests/proxy/test_local_executor.cpp
@@ -11,7 +11,6 @@
 using namespace baobabport;
 using clock_type = support::boot_clock;
 using std::chrono::milliseconds;
-using testing::run_until;
 using testing::stalled_listener;
 
 namespace {
