The soak excuses only writes that no replica had, and names two holders in rule ONE

- The stand-in group reports each entry that a promotion rolls back, and whether only the primary of the ending term had it.
Without sync_replicas such a write is the operators' choice: it may be missing, and reads do not owe it.
Any other missing write stays a violation, also one that a replaced primary committed, or that another replica had.
- Orders of two processes keep the separation; the check said two generations.
Rule ONE says "two holders promote with the same generation number, or take turns inside lease_ms": one holder with two generations takes no turns with itself.
Generations still never decrease and belong to one process each.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -232,11 +232,11 @@
 
 void caller::read_item(const std::string &item)
 {
-    const auto min_number = writes_.newest_acknowledged(item, floor_time());
-    send_statement("READ " + item, [this, item, min_number](const auto &code, const auto &row) {
+    send_statement("READ " + item, [this, item, floor = floor_time()](const auto &code, const auto &row) {
         if (code.empty()) {
             ++served_;
-            writes_.check_read(item, row, min_number, name_ + " on " + route_);
+            // Writes that were lost with their primary during the read are not owed.
+            writes_.check_read(item, row, writes_.newest_acknowledged(item, floor), name_ + " on " + route_);
         }
         if (socket_)
             pause_.start(milliseconds(random(max_pause_ms)));
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -20,6 +20,12 @@
     acknowledged_ += answer == write_answer::committed ? 1 : 0;
 }
 
+void ledger::record_loss(const std::string &item, std::uint64_t number)
+{
+    items_[item][number].lost_with_primary = true;
+    ++lost_with_primary_;
+}
+
 void ledger::record_pair(const std::string &one, const std::string &other, std::uint64_t number)
 {
     items_[one][number].partner = other;
@@ -32,7 +38,8 @@
     if (item_writes == items_.end())
         return 0;
     for (auto it = item_writes->second.rbegin(); it != item_writes->second.rend(); ++it) {
-        if (it->second.answer == write_answer::committed && it->second.at <= until)
+        const bool acknowledged = it->second.answer == write_answer::committed && it->second.at <= until;
+        if (acknowledged && !it->second.lost_with_primary)
             return it->first;
     }
     return 0;
@@ -75,7 +82,7 @@
             text.append(" ").append(std::to_string(number));
             if (times > 1)
                 violation("a write took effect " + std::to_string(times) + " times: " + text);
-            if (times == 0 && it.answer == write_answer::committed)
+            if (times == 0 && it.answer == write_answer::committed && !it.lost_with_primary)
                 violation("an acknowledged write is missing: " + text);
             if (times > 0 && it.answer == write_answer::refused)
                 violation("a refused write took effect: " + text);
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -37,7 +37,11 @@
     /// Records that two items were written by one transaction.
     void record_pair(const std::string &one, const std::string &other, std::uint64_t number);
 
-    /// Returns the highest number that was acknowledged by the given time; 0 if there is none.
+    /// Records that a write was lost with its primary, which alone had it: without `sync_replicas` that is
+    /// the operators' choice. Reads do not owe it any more, and it may be missing at the end.
+    void record_loss(const std::string &item, std::uint64_t number);
+
+    /// Returns the highest number that was acknowledged by the given time and not lost; 0 if there is none.
     [[nodiscard]] std::uint64_t newest_acknowledged(const std::string &item, time_point until) const;
 
     /// Checks the value that a read returned; it must be at least `min_number`. The value `none` counts as 0.
@@ -52,6 +56,7 @@
     [[nodiscard]] const std::vector<std::string> &violations() const { return violations_; }
     [[nodiscard]] std::uint64_t acknowledged() const { return acknowledged_; }
     [[nodiscard]] std::uint64_t reads() const { return reads_; }
+    [[nodiscard]] std::uint64_t lost_with_primary() const { return lost_with_primary_; }
 
     /// Returns the service of an item, which is the part of its name before the colon.
     static std::string service_of(const std::string &item) { return item.substr(0, item.find(':')); }
@@ -61,13 +66,15 @@
     {
         write_answer answer = write_answer::unknown;
         time_point at;
-        std::string partner; ///< the other item of its transaction
+        std::string partner;            ///< the other item of its transaction
+        bool lost_with_primary = false; ///< see `record_loss`
     };
 
     std::map<std::string, std::map<std::uint64_t, write>> items_;
     std::vector<std::string> violations_;
     std::uint64_t acknowledged_ = 0;
     std::uint64_t reads_ = 0;
+    std::uint64_t lost_with_primary_ = 0;
 };
 
 } // namespace soak
--- a/soak/order_ledger.cpp
+++ b/soak/order_ledger.cpp
@@ -32,8 +32,8 @@
         if (generation == order.generation && leader_orders.process != order.from)
             violation_(what + ", which is the generation of " + leader_orders.process);
         const auto apart = now - leader_orders.last_order;
-        if (generation < order.generation && apart < order_separation &&
-            !disturbed_since(leader_orders.process, leader_orders.last_order) &&
+        if (generation < order.generation && leader_orders.process != order.from &&
+            apart < order_separation && !disturbed_since(leader_orders.process, leader_orders.last_order) &&
             !disturbed_since(order.from, leader_orders.last_order))
             violation_(what + ", " + text_of(apart) + " after one by " + leader_orders.process +
                        " with generation " + std::to_string(generation));
--- a/soak/order_ledger.h
+++ b/soak/order_ledger.h
@@ -22,7 +22,7 @@
 };
 
 /**
- * Rules: generations never decrease, and each belongs to one process. Orders of two generations are at least
+ * Rules: generations never decrease, and each belongs to one process. Orders of two processes are at least
  * `order_separation` apart, unless one of the two processes was signalled, suspended, resumed or disconnected
  * from the store between the two orders. A fault that began before the first order is no exemption.
  */
--- a/soak/soak_site.cpp
+++ b/soak/soak_site.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <event2/event.h>
 #include <filesystem>
 #include <fstream>
@@ -86,6 +87,14 @@
         group->traits.lag = milliseconds(20);
         group->traits.promote = milliseconds(200);
         group->traits.max_connections = 40;
+        group->rolled_back = [this](const auto &entry, bool only_at_primary) {
+            for (const auto &[item, value] : entry.items) {
+                log_event("rolled back: " + item + ' ' + value +
+                          (only_at_primary ? ", which only the primary had" : ""));
+                if (only_at_primary)
+                    writes_.record_loss(item, std::strtoull(value.c_str(), nullptr, 10));
+            }
+        };
         for (const auto &id : ids) {
             auto it = std::make_unique<member>();
             it->group = group.get();
--- a/standins/line_group.cpp
+++ b/standins/line_group.cpp
@@ -105,6 +105,7 @@
     auto &chosen = *instances_.at(id);
     if (chosen.crashed())
         return;
+    report_rolled_back(chosen);
     ++term_;
     chosen.primary = true;
     chosen.term = term_;
@@ -113,6 +114,32 @@
     step_down_timer_.start(traits.step_down);
 }
 
+void line_group::report_rolled_back(const line_instance &chosen)
+{
+    struct lost_entry
+    {
+        const log_entry *entry = nullptr;
+        bool only_at_primary = true;
+    };
+    std::map<std::pair<std::uint64_t, std::uint64_t>, lost_entry> lost;
+    for (const auto &[id, it] : instances_) {
+        std::size_t kept = 0;
+        while (kept < std::min(it->log.size(), chosen.log.size()) && it->log[kept].at == chosen.log[kept].at)
+            ++kept;
+        const bool replaced = it->primary && it->term == term_;
+        for (; kept < it->log.size(); ++kept) {
+            const auto &entry = it->log[kept];
+            auto &found = lost[{entry.at.term, entry.at.offset}];
+            found.entry = &entry;
+            found.only_at_primary = found.only_at_primary && replaced && entry.at.term == term_;
+        }
+    }
+    for (const auto &[at, it] : lost) {
+        if (reported_.insert(at).second)
+            rolled_back(*it.entry, it.only_at_primary);
+    }
+}
+
 void line_group::step_down()
 {
     for (const auto &it : instances_) {
--- a/standins/line_group.h
+++ b/standins/line_group.h
@@ -14,7 +14,9 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 struct event_base;
@@ -81,14 +83,20 @@
     std::vector<ran_statement> ran;
     line_group_traits traits;
 
+    /// Called at the end of a promotion for each entry that the new primary's log lacks. `only_at_primary`:
+    /// of the term that ends, and in no log but that of its primary.
+    std::function<void(const log_entry &entry, bool only_at_primary)> rolled_back = [](const auto &, bool) {};
+
 private:
     void complete_promotion(const std::string &id);
+    void report_rolled_back(const line_instance &chosen);
     void step_down();
 
     event_base *base_;
     std::string service_;
     std::map<std::string, std::unique_ptr<line_instance>> instances_;
     std::uint64_t term_ = 1;
+    std::set<std::pair<std::uint64_t, std::uint64_t>> reported_; ///< term and offset of entries rolled back
     std::string promoting_; ///< the instance whose promotion is in progress
     baobabport::inner::timer promotion_timer_;
     baobabport::inner::timer step_down_timer_;
--- a/tests/soak/test_order_ledger.cpp
+++ b/tests/soak/test_order_ledger.cpp
@@ -98,3 +98,14 @@
     it.order("front-1", 0, 10);
     REQUIRE(it.violations.size() == 2);
 }
+
+// The users' rule ONE speaks of two holders that take turns.
+TEST_CASE("a process that is elected again may order within the order separation", "[soak]")
+{
+    watched_orders it;
+    it.order("front-1", 1, 0);
+    it.order("front-1", 2, 2131);
+    REQUIRE(it.violations.empty());
+    it.order("front-2", 3, 4000);
+    REQUIRE(it.violations.size() == 1);
+}
