--- a/soak/soak_site.cpp
+++ b/soak/soak_site.cpp
@@ -89,8 +89,9 @@
         group->traits.max_connections = 40;
         group->rolled_back = [this](const auto &entry, bool only_at_primary) {
             for (const auto &[item, value] : entry.items) {
-                log_event("rolled back: " + item + ' ' + value +
-                          (only_at_primary ? ", which only the primary had" : ""));
+                std::string text = "rolled back: " + item;
+                text.append(" ").append(value).append(only_at_primary ? ", which only the primary had" : "");
+                log_event(text);
                 if (only_at_primary)
                     writes_.record_loss(item, std::strtoull(value.c_str(), nullptr, 10));
             }
--- a/src/proxy/local_executor.cpp
+++ b/src/proxy/local_executor.cpp
@@ -306,9 +306,8 @@
 void local_executor::send_status_request(const inner::execute_request &request)
 {
     constexpr std::uint64_t no_owner = 0;
-    start(no_owner, request, [this, request, weak = std::weak_ptr(state_)](const auto &answer) {
-        const auto state = weak.lock(); // expired: this object is gone
-        if (state && state->status_requests.finish(request.instance, answer))
+    start(no_owner, request, [this, request, alive = std::weak_ptr(alive_)](const auto &answer) {
+        if (!alive.expired() && state_->status_requests.finish(request.instance, answer))
             send_status_request(request);
     });
 }
--- a/src/proxy/local_executor.h
+++ b/src/proxy/local_executor.h
@@ -83,6 +83,7 @@
 
     pool_hook pools_;
     std::shared_ptr<shared_state> state_ = std::make_shared<shared_state>();
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< callbacks keep a weak pointer to it
 };
 
 /// Runs statements in this process or in the home process of an instance.
