A session is refused after 150 ms without a desired state, not after 1.5 s

Cause: while the store is away nothing can be served by a process that has just started; callers were kept for 1.5 s before the refusal.

Test: "a session that connects while no desired state can be read is refused soon".

--- a/src/proxy/caller_task.h
+++ b/src/proxy/caller_task.h
@@ -40,8 +40,9 @@
 public:
     /// A session is closed if the caller has not named a database within this time.
     static constexpr std::chrono::milliseconds open_timeout{5000};
-    /// A session waits this long for the first desired state of a process that has just started.
-    static constexpr std::chrono::milliseconds routes_timeout{1500};
+    /// A session waits this long for the first desired state of a process that has just started: many times
+    /// as long as the store usually takes to answer. Later answers are too late for the caller.
+    static constexpr std::chrono::milliseconds routes_timeout{150};
     /// Bytes of input that are buffered while a statement runs; the rest stays in the caller's socket.
     static constexpr std::size_t max_buffered_input = std::size_t{256} * 1024;
     /// Bytes of unsent output above which no further statement of the caller is started.
--- a/tests/proxy/test_proxy_start.cpp
+++ b/tests/proxy/test_proxy_start.cpp
@@ -39,3 +39,18 @@
     CHECK(caller.lines.back().starts_with("READY I"));
     CHECK_FALSE(caller.closed);
 }
+
+// Guards against callers that are kept waiting although nothing can be served: the store is away.
+TEST_CASE("a session that connects while no desired state can be read is refused soon")
+{
+    proxy_site site;
+    site.store->main_endpoint().faults.refuses = true;
+    const auto settings = site.settings_of("front-2");
+    baobabport::proxy::proxy_task second(site.base, settings, [] {});
+    test_caller caller(site.base, settings.callers);
+    caller.send("CONNECT main u1\r\n");
+    REQUIRE(site.run_until([&] { return !caller.lines.empty(); }));
+    CHECK(caller.lines.front().starts_with("ERROR BUSY"));
+    // A quarter of a usual target latency of 1,000 ms: later refusals are late for the caller.
+    CHECK(baobabport::proxy::caller_task::routes_timeout <= std::chrono::milliseconds(250));
+}
