A relay that is behind does not take a copy of the list back

Cause: a copy that was ahead of its new source was sent the source's list from the beginning: processes that had left were listed again until the source had caught up, and the whole list travelled again. Found by reading the change.

Change: a source that is behind sends no change; a copy remembers the newest version that it has heard of, so that it does not take a part for the whole.

The new test failed before and passes now.

--- a/src/failover/member_log.cpp
+++ b/src/failover/member_log.cpp
@@ -50,6 +50,10 @@
     out.base = generation == generation_ && version <= version_ ? version : 0;
     out.newest = newest_;
     out.version = version_;
+    if (generation == generation_ && version > version_) { // this copy is behind the other
+        out.base = out.version = out.newest = version;
+        return out;
+    }
     for (auto it = addresses_.upper_bound(out.base); it != addresses_.end(); ++it) {
         const auto &entry = entries_.at(it->second);
         if (!entry.present && out.base == 0)
@@ -72,7 +76,7 @@
     for (const auto &it : part.changes)
         set(it.process, it.version, it.present);
     version_ = part.version;
-    newest_ = std::max(part.newest, part.version);
+    newest_ = std::max({newest_, part.newest, part.version});
     return true;
 }
 
--- a/src/failover/member_log.h
+++ b/src/failover/member_log.h
@@ -32,7 +32,7 @@
     bool update(const std::vector<inner::member> &members);
 
     /// Returns the next part for a copy of `generation` that has `version`; from an empty list if the copy
-    /// is of another leader's list.
+    /// is of another leader's list, and without a change if it is ahead of this one.
     [[nodiscard]] inner::member_changes changes_since(std::uint64_t generation, std::uint64_t version) const;
 
     /// Applies a part. Returns false, and changes nothing, if the part does not continue this copy.
--- a/tests/failover/test_member_log.cpp
+++ b/tests/failover/test_member_log.cpp
@@ -124,6 +124,24 @@
     CHECK(copy.version() == version);
 }
 
+// Guards against processes that had left and are listed again after a change to a relay that is behind.
+TEST_CASE("a source that is behind changes nothing in a copy")
+{
+    member_log leader;
+    leader.begin(1);
+    leader.update(fleet(3));
+    member_log behind;
+    copy_all(behind, leader);
+    leader.update(fleet(2));
+    member_log copy;
+    copy_all(copy, leader);
+    const auto version = copy.version();
+    REQUIRE(copy.apply(behind.changes_since(copy.generation(), copy.version())));
+    CHECK(copy.version() == version);
+    CHECK(copy.complete());
+    CHECK(same(copy.members(), fleet(2)));
+}
+
 TEST_CASE("a copy that changes its source while the list changes ends with the leader's list")
 {
     for (std::uint32_t seed = 1; seed <= 50; ++seed) {
