--- a/review/lib/loopback_site.py
+++ b/review/lib/loopback_site.py
@@ -267,7 +267,7 @@
         self.term = 1
         self.lock = threading.RLock()
         self.ran = []  # (instance, id, text)
-        self.commits = []  # (instance, term, ids) of what took effect
+        self.commits = []  # (instance, term, ids, time) of what took effect
         self.instances = {}
         for n, (name, zone, at) in enumerate(addresses):
             self.instances[name] = Instance(self, name, zone, at, n == 0)
@@ -290,6 +290,12 @@
             self.term += 1
             it.primary, it.term, it.paused = True, self.term, 0
             it.applied = len(it.log)
+            it.led_from = time.monotonic()
+            for other in self.instances.values():
+                other.paused = 0  # a pause lasts "until RESUME, a promote, or the replica's restart"
+                if other is not it and not other.primary and not other.deaf:
+                    other.term, other.log = self.term, list(it.log)
+                    other.applied = min(other.applied, len(other.log))
             self.record("group %s: %s leads term %d with %d entries"
                         % (self.service, it.name, self.term, len(it.log)))
         time.sleep(1.0)
@@ -310,6 +316,8 @@
         self.applied = 0
         self.down = False
         self.cut_off = False
+        self.deaf = False  # receives nothing
+        self.led_from = None
         self.connections = {}
         self.slots = threading.Semaphore(group.slots)
         self.delay = None  # a hook: (id, text) -> seconds
@@ -326,6 +334,7 @@
             self.reset(number)
 
     def position(self, entries):
+        entries = min(entries, len(self.log))
         return "%d.%d" % self.log[entries - 1][:2] if entries else "1.0"
 
     def accept(self, listener):
@@ -459,12 +468,13 @@
         if self.state == "I" and self.writes:
             it.log.append((it.term, len(it.log) + 1, self.writes))
             it.applied = len(it.log)
-            it.group.commits.append((it.name, it.term, self.ids))
+            it.group.commits.append((it.name, it.term, self.ids, time.monotonic()))
             it.group.record("instance %s: committed %s as %s"
                             % (it.name, " ".join(self.ids), it.position(it.applied)))
             self.writes, self.ids = {}, []
             for other in it.group.instances.values():
-                if other is it or other.primary or other.paused or other.down or other.term > it.term:
+                if other is it or other.primary or other.paused or other.down or other.deaf or \
+                        other.term > it.term:
                     continue
                 other.log, other.term = list(it.log), it.term
                 in_thread(self.apply_later, other, len(it.log))
