--- a/review/1/case.py
+++ b/review/1/case.py
@@ -35,14 +35,16 @@
     if TROUBLE:
         site.record("%s receives nothing" % deaf.name)
         deaf.deaf = True
+    deaf_from = time.monotonic()
     time.sleep(0.4)
     site.record("%s is to be replaced: it is draining" % primary.name)
     site.register(primary, "draining")
-    end = time.monotonic() + 5
+    end = deaf_from + 5
     while group.term == 1 and time.monotonic() < end:
         time.sleep(0.01)
-    time.sleep(1.5)
+    time.sleep(1.4)
     deaf.deaf = False
+    site.record("%s receives again, after %.1f s" % (deaf.name, time.monotonic() - deaf_from))
     new = [it for it in group.instances.values() if it.led_from]
     if not new:
         site.record("%s was not replaced" % primary.name)
@@ -66,12 +68,8 @@
             in_thread(writer, site, at, "w%d%s" % (n, service), "visits-" + service, acked, stop)
     time.sleep(2)
     breaks = []
-    replacements = []
-    for service in SERVICES:
-        replacements.append(in_thread(replace, site, service, acked, breaks))
-        time.sleep(2.5)
-    for it in replacements:
-        it.join(20)
+    for service in SERVICES:  # one replica at a time receives nothing
+        replace(site, service, acked, breaks)
     stop.append(True)
     site.record("%d writes were acknowledged" % len(acked))
     return breaks
