The log names the report that confirmed a primary

Added: primary_confirmed, with the replica, its term, its pause and how much of the log it has received.

--- a/src/proxy/group_task_requests.cpp
+++ b/src/proxy/group_task_requests.cpp
@@ -111,7 +111,18 @@
     const auto former = state_.primary();
     const auto former_term = state_.term();
     const bool was_contested = state_.contested();
+    const auto was_confirmed_at = state_.confirmed_at();
     state_.observe(id, report, requested_at);
+    if (state_.confirmed_at() > was_confirmed_at && !confirmations_.empty()) {
+        support::log_routine("primary_confirmed", {{"service", identity_.service},
+                                                   {"primary", state_.primary().value_or("none")},
+                                                   {"term", std::to_string(state_.term())},
+                                                   {"replica", id},
+                                                   {"replica_term", std::to_string(report.term)},
+                                                   {"received", std::to_string(report.received.offset)},
+                                                   {"paused_at", std::to_string(report.paused_at)},
+                                                   {"waiting", std::to_string(confirmations_.size())}});
+    }
     if (state_.primary() != former || state_.term() != former_term) {
         log_event("primary_known", {{"service", identity_.service},
                                     {"instance", state_.primary().value_or("none")},
