A primary is confirmed by the reports of all other members

Seen by callers: in a planned replacement beside a replica that receives nothing, writes were acknowledged at the old primary after its successor had taken over, and rolled back (ONE); reads lacked commits of the next term (STALE).

Cause: a process without a lease took the report of any one replica, unpaused and of no later term, as proof that no promotion had begun. A promotion ends the pauses, and a replica that receives nothing does not know the new term.

Change: each other member has to report. The instance that was promoted cannot report that it was not. Where one does not answer, a replica that has received a commit made after the time in question stands in for it. Floors use the same rule. The stand-in ends pauses at a promotion, as the protocol says; it did not, which hid the fault.

--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -24,6 +24,7 @@
     std::set<std::string> present;
     for (const auto &it : records) {
         present.insert(it.id);
+        state_.add_instance(it.id);
         auto &known = members_[it.id];
         const bool moved = known.pool && known.pool->target().at != it.at;
         known.record = it;
--- a/src/proxy/group_task.h
+++ b/src/proxy/group_task.h
@@ -66,8 +66,6 @@
     static constexpr std::chrono::milliseconds exclusion_period{500};
     /// An instance whose log was behind the floor is tried again after this time: it may have caught up.
     static constexpr std::chrono::milliseconds behind_retry_delay{250};
-    /// A second replica is asked for a confirmation if the first has not answered within this time.
-    static constexpr std::chrono::milliseconds second_replica_delay{40};
     /// Time-out of a status request.
     static constexpr std::chrono::milliseconds probe_timeout{500};
     /// This process searches for the primary itself only if no lease was received for this long.
@@ -208,8 +206,7 @@
     void refresh_floor(time_point now);
     void handle_report(const std::string &id, const replication::member_report &report,
                        time_point requested_at);
-    std::vector<std::string> replicas_by_preference(time_point now) const;
-
+    void probe_replicas(time_point now);
     void probe_through_home(const std::string &id, const report_hook &done);
 
     event_base *base_;
--- a/src/proxy/group_task_requests.cpp
+++ b/src/proxy/group_task_requests.cpp
@@ -63,6 +63,7 @@
     if (request.in_flight && now - request.sent_at < probe_timeout)
         return;
     request = {now, true};
+    state_.record_request(id, now);
     const std::weak_ptr<group_task *> weak = self_;
     const report_hook done = [weak, id, directly](const auto &report) {
         const auto self = weak.lock();
@@ -137,23 +138,14 @@
     reevaluate(clock_type::now());
 }
 
-std::vector<std::string> group_task::replicas_by_preference(time_point now) const
+void group_task::probe_replicas(time_point now)
 {
-    std::vector<std::string> out;
     for (const auto &[id, it] : members_) {
+        // The home process of a draining instance rejects status requests, too.
+        const bool directly = !directory::instance_directory::accepts_statements(it.record, now);
         if (state_.primary() != id)
-            out.push_back(id);
+            probe(id, directly);
     }
-    const auto cost = [this, now](const std::string &id) {
-        const auto &it = members_.at(id);
-        const bool draining = !directory::instance_directory::accepts_statements(it.record, now);
-        return (it.record.data_centre == identity_.data_centre ? 0 : 1) +
-               (now < it.excluded_until || !it.pool->reachable(now) ? 4 : 0) +
-               (draining ? 8 : 0); // its home process rejects status requests, too
-    };
-    std::stable_sort(out.begin(), out.end(),
-                     [&cost](const auto &a, const auto &b) { return cost(a) < cost(b); });
-    return out;
 }
 
 void group_task::query_replicas(time_point now)
@@ -171,16 +163,8 @@
     bool confirmation_needed = floor_stale;
     for (const auto &it : confirmations_)
         confirmation_needed = confirmation_needed || state_.confirmed_at() < it.request.since;
-    if (!confirmation_needed)
-        return;
-    for (const auto &id : replicas_by_preference(now)) {
-        const auto &it = members_.at(id);
-        const bool overdue =
-            it.through_home.in_flight && now - it.through_home.sent_at >= second_replica_delay;
-        probe(id);
-        if (!overdue)
-            break;
-    }
+    if (confirmation_needed)
+        probe_replicas(now);
 }
 
 void group_task::search_primary(time_point now)
@@ -210,9 +194,8 @@
         return;
     const bool reports = now - position_reported_at_ <= floor_refresh_period;
     probe(*state_.primary(), reports);
-    const auto replicas = replicas_by_preference(now);
-    if (!replicas.empty() && !has_lease(now))
-        probe(replicas.front());
+    if (!has_lease(now))
+        probe_replicas(now);
 }
 
 } // namespace baobabport::proxy
--- a/src/replication/group_state.cpp
+++ b/src/replication/group_state.cpp
@@ -9,6 +9,7 @@
 confirmation group_state::observe(const std::string &id, const member_report &report, time_point requested_at)
 {
     reports_[id] = report;
+    unanswered_since_.erase(id);
     if (report.role == instance_role::primary) {
         if (report.term > term_ || (report.term == term_ && !primary_)) {
             begin_term(id, report.term);
@@ -18,6 +19,7 @@
         } else if (primary_ == id) {
             add_sample(report.received, requested_at);
         } else if (report.term < term_) {
+            not_promoted_at_[id] = requested_at;
             return confirmation::contested;
         }
         return confirmation::irrelevant;
@@ -32,10 +34,51 @@
         return confirmation::contested;
     }
     contested_ = false;
-    confirmed_at_ = std::max(confirmed_at_, requested_at);
+    not_promoted_at_[id] = requested_at;
+    if (report.term == term_)
+        record_received(report.received);
+    const auto confirmed_at = confirmed_by_reports(requested_at);
+    if (confirmed_at <= confirmed_at_)
+        return confirmation::irrelevant;
+    confirmed_at_ = confirmed_at;
     return confirmation::confirmed;
 }
 
+void group_state::record_request(const std::string &id, time_point requested_at)
+{
+    unanswered_since_.emplace(id, requested_at);
+}
+
+bool group_state::is_silent(const std::string &id, time_point now) const
+{
+    const auto it = unanswered_since_.find(id);
+    return it != unanswered_since_.end() && now - it->second >= silence_limit;
+}
+
+time_point group_state::confirmed_by_reports(time_point now) const
+{
+    std::optional<time_point> out;
+    for (const auto &id : members_) {
+        if (primary_ == id)
+            continue;
+        const auto it = not_promoted_at_.find(id);
+        auto at = it == not_promoted_at_.end() ? time_point{} : it->second;
+        if (is_silent(id, now))
+            at = std::max(at, followed_at_);
+        out = out ? std::min(*out, at) : at;
+    }
+    return out.value_or(time_point{});
+}
+
+void group_state::record_received(position received)
+{
+    // What a replica has received beyond a sample was committed after that sample was requested.
+    const auto it = std::find_if(samples_.rbegin(), samples_.rend(),
+                                 [received](const auto &sample) { return sample.log < received; });
+    if (it != samples_.rend())
+        followed_at_ = std::max(followed_at_, it->requested_at);
+}
+
 void group_state::confirm_by_lease(std::uint64_t term, time_point now)
 {
     if (!primary_ || term != term_)
@@ -74,8 +117,11 @@
 
 void group_state::erase_instance(const std::string &id)
 {
+    members_.erase(id);
     reports_.erase(id);
     applied_.erase(id);
+    not_promoted_at_.erase(id);
+    unanswered_since_.erase(id);
     if (primary_ == id)
         primary_.reset();
 }
@@ -119,6 +165,8 @@
         return;
     samples_.clear();
     applied_.clear();
+    not_promoted_at_.clear();
+    followed_at_ = {};
 }
 
 void group_state::add_sample(position log, time_point requested_at)
--- a/src/replication/group_state.h
+++ b/src/replication/group_state.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace baobabport::replication {
@@ -18,16 +19,24 @@
 /// What an instance's report proves about the assumed primary.
 enum class confirmation : std::uint8_t
 {
-    confirmed,  ///< no promotion was in progress when the report was requested
+    confirmed,  ///< with those of the other members: no promotion had begun when it was requested
     contested,  ///< a replica is paused or follows a later term, or a primary has an earlier term
-    irrelevant, ///< nothing: not from a replica, or no primary is known
+    irrelevant, ///< nothing yet: not from a replica, no primary is known, or a member has not reported
 };
 
 /**
  * Combines the reports of a group's instances.
  *
- * A primary's report is valid only for times that a replica confirms: in answer to a request sent no earlier,
- * it was neither paused nor of a later term. Before any promotion, every replica is paused.
+ * A primary's report is valid only for times at which no successor can have led. For a time `t` that takes,
+ * of each other member, one of these:
+ * - A report requested at `t` or later in which it neither leads a later term, follows one, nor is paused. An
+ *   instance that was promoted before `t` cannot give it, and before any promotion every replica is paused.
+ * - If it does not answer: another replica's report that it has received a commit which the primary made
+ *   after `t`. A replica receives nothing while it is paused, and nothing from a primary that it knows to
+ *   be replaced.
+ *
+ * The first kind of report is not enough from one replica alone: a promotion ends its pause, and if it
+ * receives nothing, it does not know the new term.
  */
 class group_state
 {
@@ -36,6 +45,14 @@
     static constexpr std::chrono::milliseconds sample_interval{25};
     /// Samples older than this are dropped; longer than any staleness that the settings of a route allow.
     static constexpr std::chrono::milliseconds max_sample_age{15000};
+    /// A member counts as silent once a request has been unanswered for this long; several round trips.
+    static constexpr std::chrono::milliseconds silence_limit{40};
+
+    /// Adds an instance, whose report is required from then on.
+    void add_instance(const std::string &id) { members_.insert(id); }
+
+    /// Records that the instance's report was requested.
+    void record_request(const std::string &id, time_point requested_at);
 
     /// Records an instance's report, in answer to a request sent at `requested_at`.
     confirmation observe(const std::string &id, const member_report &report, time_point requested_at);
@@ -64,8 +81,7 @@
     /// Returns the highest term at which a primary was observed.
     [[nodiscard]] std::uint64_t term() const { return term_; }
 
-    /// Returns when the latest request was sent whose answer confirmed the primary, or the time of a lease
-    /// that did.
+    /// Returns the latest time for which reports or a lease confirm the primary.
     [[nodiscard]] time_point confirmed_at() const { return confirmed_at_; }
 
     /// Returns true while the last report of a replica was of a pause or of a later term.
@@ -93,12 +109,20 @@
 private:
     void begin_term(const std::string &id, std::uint64_t term);
     void add_sample(position log, time_point requested_at);
+    void record_received(position received);
+    [[nodiscard]] bool is_silent(const std::string &id, time_point now) const;
+    [[nodiscard]] time_point confirmed_by_reports(time_point now) const;
 
+    std::set<std::string> members_;
     std::map<std::string, member_report> reports_;
     std::map<std::string, sample> applied_;
     std::optional<std::string> primary_;
     std::uint64_t term_ = 0; ///< never decreases
     time_point confirmed_at_;
+    /// When the last report of each member was requested that rules out its promotion.
+    std::map<std::string, time_point> not_promoted_at_;
+    std::map<std::string, time_point> unanswered_since_; ///< first request since the last report
+    time_point followed_at_; ///< a replica has received a commit that the primary made after this time
     bool contested_ = false;
     std::deque<sample> samples_; ///< oldest first, of the current term's primary
 };
--- a/standins/line_group.cpp
+++ b/standins/line_group.cpp
@@ -109,8 +109,16 @@
     ++term_;
     chosen.primary = true;
     chosen.term = term_;
-    chosen.paused_at = 0;
     chosen.apply(chosen.log.size());
+    for (const auto &it : instances_) {
+        auto &other = *it.second;
+        other.paused_at =
+            0; // the protocol: a pause lasts "until RESUME, a promote, or the replica's restart"
+        if (&other == &chosen || other.primary || other.drops_replication || other.crashed())
+            continue;
+        other.receive_log(chosen.log);
+        other.term = term_;
+    }
     step_down_timer_.start(traits.step_down);
 }
 
--- a/tests/proxy/test_proxy_load.cpp
+++ b/tests/proxy/test_proxy_load.cpp
@@ -113,9 +113,12 @@
     CHECK(site.ask(*caller, "READ x").starts_with("ROW 2|"));
 }
 
-TEST_CASE("a planned switchover loses no acknowledged write")
+namespace {
+
+/// Replaces the primary `a`, which leaves, while a follower's caller writes; checks that the log of its
+/// successor has each acknowledged write once.
+void check_planned_switchover(proxy_site &site)
 {
-    proxy_site site;
     site.group.traits.promote = milliseconds(300);
     // A follower, since the leader ends its own leases at once.
     const auto settings = site.settings_of("front-2");
@@ -145,6 +148,23 @@
                             [&it](const auto &entry) { return entry.items.at("x") == it; }) == 1);
 }
 
+} // namespace
+
+TEST_CASE("a planned switchover loses no acknowledged write")
+{
+    proxy_site site;
+    check_planned_switchover(site);
+}
+
+// Guards against writes that are acknowledged at the old primary once its successor leads: a replica that
+// receives nothing confirmed them (docs/incidents/deaf-replica-confirms.md).
+TEST_CASE("a planned switchover beside a replica that receives nothing loses no acknowledged write")
+{
+    proxy_site site;
+    site.group.at("b").drops_replication = true;
+    check_planned_switchover(site);
+}
+
 TEST_CASE("a primary that resets its connections but accepts new ones is not taken for one that refuses them")
 {
     // Found by the soak (seed 23): the primary was replaced although one replica had not been paused.
