Records of instances need a version and a sequence

Seen by callers: an entry of another writer among the instances, whose version was a number and whose sequence was missing, was used as an instance.

Cause: the decoder checked only the fields that it uses.

Change: both are required, with their types. The sample of the decoders' fuzz test gets them, too.

--- a/src/platform/record_codec.cpp
+++ b/src/platform/record_codec.cpp
@@ -132,6 +132,9 @@
         if (body.contains("born"))
             out.started_at =
                 milliseconds(whole_number(body, "born", std::numeric_limits<std::int64_t>::max()));
+        // Not used, but every instance writes them: without them, the entry is of another writer.
+        (void)body.at("version").get_ref<const std::string &>();
+        (void)whole_number(body, "sequence", std::numeric_limits<std::uint64_t>::max());
         if (out.id.empty() || out.service.empty())
             throw std::runtime_error("id or service is empty");
         return out;
--- a/tests/inner/test_decoders.cpp
+++ b/tests/inner/test_decoders.cpp
@@ -81,7 +81,8 @@
 }
 
 const char *const instance_record = R"({"backend":"db","address":"10.0.0.9:8080","zone":"erie","slots":2,)"
-                                    R"("state":"ready","db_role":"replica","cold_remaining_ms":0,"born":9})";
+                                    R"("state":"ready","db_role":"replica","cold_remaining_ms":0,"born":9,)"
+                                    R"("version":"v1","sequence":4})";
 const char *const desired_state =
     R"({"version":7,"routes":[{"name":"r","database":"d","type":"bounded","timeout_ms":800,)"
     R"("target_latency_ms":200,"priority":2,"backend":"db","max_staleness_ms":2500}],)"
--- a/tests/platform/test_record_codec.cpp
+++ b/tests/platform/test_record_codec.cpp
@@ -2,7 +2,9 @@
 
 #include "platform/record_codec.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <nlohmann/json.hpp>
 
 using namespace baobabport;
@@ -66,8 +68,8 @@
 
 TEST_CASE("a record with missing or invalid fields is rejected")
 {
-    for (const auto *const field :
-         {"backend", "address", "zone", "slots", "state", "db_role", "cold_remaining_ms"}) {
+    for (const auto *const field : {"backend", "address", "zone", "version", "slots", "state", "db_role",
+                                    "cold_remaining_ms", "sequence"}) {
         auto missing = instance();
         missing.erase(field);
         CHECK_FALSE(read(missing));
@@ -89,6 +91,34 @@
     CHECK_FALSE(reason.empty());
 }
 
+// Guards against an entry of another writer that is taken for an instance: it can never be paused, which
+// prevented every replacement of a primary (docs/incidents/odd-instance-entry.md).
+TEST_CASE("an instance record whose field is of another type is rejected")
+{
+    const std::map<std::string, json> of_each_type{
+        {"string", "x"},   {"whole number", 3}, {"negative number", -3}, {"fraction", 0.5},
+        {"boolean", true}, {"null", nullptr},   {"list", json::array()}, {"object", json::object()}};
+    const std::map<std::string, std::vector<std::string>> allowed{
+        {"backend", {"string"}},
+        {"zone", {"string"}},
+        {"version", {"string"}},
+        {"slots", {"whole number"}},
+        {"cold_remaining_ms", {"whole number", "fraction"}},
+        {"sequence", {"whole number"}},
+        {"born", {"whole number"}},
+        {"address", {}},
+        {"state", {}},
+        {"db_role", {}}};
+    for (const auto &[field, types] : allowed) {
+        for (const auto &[type, value] : of_each_type) {
+            auto body = instance();
+            body[field] = value;
+            INFO(field << ": " << type);
+            CHECK(read(body).has_value() == (std::count(types.begin(), types.end(), type) > 0));
+        }
+    }
+}
+
 TEST_CASE("a desired state with an invalid part is rejected as a whole")
 {
     std::string reason;
@@ -133,8 +163,8 @@
                                               std::string(100000, '[') + std::string(100000, ']'),
                                               "\"" + std::string(1000000, 'x') + "\"",
                                               "\"\xff\xfe\""};
-    for (const auto *const field :
-         {"backend", "address", "zone", "slots", "state", "db_role", "cold_remaining_ms", "born"}) {
+    for (const auto *const field : {"backend", "address", "zone", "version", "slots", "state", "db_role",
+                                    "cold_remaining_ms", "sequence", "born"}) {
         for (const auto &value : odd_values) {
             auto body = instance();
             body.erase(field);
