A replica whose address refuses connections holds up no replacement

Cause: each listed replica had to be paused before a promotion, unless the former primary is listed and refuses connections. "A replica could not be paused" came without end.

Change: a replica that refuses connections for half of the limit is not required. It does not run, so it neither receives commits nor confirms the old primary.

The test with a whole process was not run without the change.

--- a/src/failover/switchover.cpp
+++ b/src/failover/switchover.cpp
@@ -132,8 +132,9 @@
     for (const auto &it : group.members) {
         if (it.id == former_primary_ || paused_.count(it.id))
             continue;
-        // A former primary that refuses connections cannot serve any process.
-        const bool dispensable = former_is_down && now - entered_at_ >= pause_limit / 2;
+        // A former primary that refuses connections cannot serve any process. A replica that does is not
+        // running: it neither receives commits nor confirms any.
+        const bool dispensable = (former_is_down || it.refuses) && now - entered_at_ >= pause_limit / 2;
         if (!dispensable)
             return false;
     }
--- a/src/failover/switchover.h
+++ b/src/failover/switchover.h
@@ -67,10 +67,11 @@
 /**
  * Carries out one replacement at a time.
  *
- * Before a promotion, every reachable replica is paused, and an unreachable replica forbids the promotion
- * unless the old primary refuses connections. A process that requests the reports of all replicas therefore
- * detects that a promotion is in progress, before the new primary accepts its first write. One report is not
- * enough: the promotion ends the pauses, and a replica that receives nothing does not know the new term
+ * Before a promotion, every reachable replica is paused. A silent one forbids the promotion, unless the old
+ * primary refuses connections: other processes may reach both. One that refuses connections is not running. A
+ * process that requests the reports of all replicas therefore detects that a promotion is in progress, before
+ * the new primary accepts its first write. One report is not enough: the promotion ends the pauses, and a
+ * replica that receives nothing does not know the new term
  * (`replication::group_state`).
  */
 class switchover
--- a/tests/failover/test_switchover.cpp
+++ b/tests/failover/test_switchover.cpp
@@ -145,6 +145,29 @@
     CHECK(has(it.step(group, after(switchover::pause_limit / 2)), action_kind::promote, "b"));
 }
 
+// Guards against an entry of the list at whose address nothing listens: no primary could be replaced.
+TEST_CASE("a replica whose address refuses connections does not hold up a replacement")
+{
+    auto leaving = healthy();
+    leaving.members[0].leaving = true;
+    auto unknown = healthy();
+    unknown.primary.reset();
+    unknown.members.erase(unknown.members.begin());
+    for (auto group : {unresponsive_primary(switchover::unresponsive_limit), leaving, unknown}) {
+        group.members.back().refuses = true;
+        group.members.back().report.reset();
+        switchover it;
+        it.step(group, start);
+        const auto began = group.primary ? start : start + switchover::no_primary_limit;
+        if (!group.primary)
+            it.step(group, began);
+        REQUIRE(it.current() == switchover::phase::pausing);
+        it.record_pause("b", {instance_role::replica, 1, {1, 9}, 2, 0, 0});
+        CHECK_FALSE(has(it.step(group, began + milliseconds(60)), action_kind::promote, "b"));
+        CHECK(has(it.step(group, began + switchover::pause_limit / 2), action_kind::promote, "b"));
+    }
+}
+
 TEST_CASE("a pause that a later one replaced does not count")
 {
     switchover it;
--- a/tests/proxy/test_proxy_load.cpp
+++ b/tests/proxy/test_proxy_load.cpp
@@ -165,6 +165,36 @@
     check_planned_switchover(site);
 }
 
+// Guards against an entry of the list at whose address nothing listens: no primary could be replaced.
+TEST_CASE("an instance that is listed but does not run holds up no replacement of a primary")
+{
+    proxy_site site;
+    const auto caller = site.session("main");
+    site.store->put("servers/ghost",
+                    R"({"backend":"db","address":"127.9.9.9:9","zone":"erie","version":"v1","slots":2,)"
+                    R"("state":"ready","cold_remaining_ms":0,"db_role":"replica","sequence":1,"born":1})");
+    CHECK(site.run_until([&] { return is_success(site.ask(*caller, "WRITE x 1")); }));
+    site.run_for(milliseconds(500));
+    SECTION("the primary is lost")
+    {
+        site.group.at("a").crash();
+    }
+    SECTION("the primary leaves")
+    {
+        site.register_instance("a", "draining");
+    }
+    SECTION("the primary is lost while all processes restart")
+    {
+        site.group.at("a").crash();
+        site.proxy.reset();
+        site.proxy.emplace(site.base, site.settings(), [] {});
+    }
+    CHECK(site.run_until([&] { return site.promoted.size() == 1; }));
+    const auto after = site.session("main");
+    CHECK(site.run_until([&] { return is_success(site.ask(*after, "WRITE x 2")); }));
+    CHECK(site.promoted.front() != "ghost");
+}
+
 TEST_CASE("a primary that resets its connections but accepts new ones is not taken for one that refuses them")
 {
     // Found by the soak (seed 23): the primary was replaced although one replica had not been paused.
