Only CR LF ends a line

Cause: the reader of callers' and instances' lines ended a line at any line feed.

Change: besides, a line of over 1 MiB is refused also if it arrives at once, and one of exactly 1 MiB is not refused when only its CR has come.

--- a/src/platform/line_codec.cpp
+++ b/src/platform/line_codec.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::string_view no_position = "-";
+constexpr std::string_view line_ending = "\r\n";
 
 struct code_name
 {
@@ -98,7 +99,7 @@
 
 void end_line(std::string &out)
 {
-    out += "\r\n";
+    out += line_ending;
 }
 
 } // namespace
@@ -113,23 +114,29 @@
     buf_.append(bytes);
 }
 
+line_reader::extent line_reader::first_line() const
+{
+    const auto end = buf_.find(line_ending, scanned_);
+    if (end != std::string::npos)
+        return {end - begin_, true};
+    // A CR at the end may be the first half of a line ending.
+    const bool half_ending = buf_.size() > begin_ && buf_.back() == line_ending.front();
+    return {buf_.size() - begin_ - (half_ending ? 1 : 0), false};
+}
+
 std::optional<std::string> line_reader::next()
 {
-    const auto end = buf_.find('\n', scanned_);
-    if (end == std::string::npos) {
-        scanned_ = buf_.size();
-        if (begin_ > 0) {
-            buf_.erase(0, begin_);
-            scanned_ -= begin_;
-            begin_ = 0;
-        }
+    const auto line = first_line();
+    if (line.length > max_message)
+        return std::nullopt;
+    if (!line.complete) {
+        buf_.erase(0, begin_);
+        begin_ = 0;
+        scanned_ = line.length;
         return std::nullopt;
     }
-    auto length = end - begin_;
-    if (length > 0 && buf_[end - 1] == '\r')
-        --length;
-    std::string out = buf_.substr(begin_, length);
-    begin_ = end + 1;
+    std::string out = buf_.substr(begin_, line.length);
+    begin_ += line.length + line_ending.size();
     scanned_ = begin_;
     return out;
 }
--- a/src/platform/line_codec.h
+++ b/src/platform/line_codec.h
@@ -19,7 +19,9 @@
 inline constexpr const char *own_statement_id = "-";
 
 /**
- * Splits a stream of bytes into lines.
+ * Splits a stream of bytes into lines, each of which ends with CR LF. A CR or LF alone is data.
+ *
+ * Nothing is read after a line that is longer than `max_message`.
  */
 class line_reader
 {
@@ -29,13 +31,22 @@
     /// Returns the next complete line without its line ending, or none.
     std::optional<std::string> next();
 
-    /// Returns true if the incomplete line is longer than `max_message`.
-    [[nodiscard]] bool overflowed() const { return buf_.size() - begin_ > max_message; }
+    /// Returns true if a line, complete or not, is longer than `max_message`, without its line ending.
+    [[nodiscard]] bool overflowed() const { return first_line().length > max_message; }
 
 private:
+    struct extent
+    {
+        std::size_t length = 0; ///< without the line ending
+        bool complete = false;
+    };
+
+    /// Returns the extent of the first line that has not been returned.
+    [[nodiscard]] extent first_line() const;
+
     std::string buf_;
     std::size_t begin_ = 0;   ///< start of the bytes that have not been returned
-    std::size_t scanned_ = 0; ///< no line ending between `begin_` and this offset
+    std::size_t scanned_ = 0; ///< no line ending begins between `begin_` and this offset
 };
 
 [[nodiscard]] session::caller_message read_caller_line(std::string_view line);
