A time-out may end other sessions, and its own statement

Cause: a time-out ends its transaction's connection, which answers the statement within the call: the session released the statement, which went on. Besides, the freed slot starts the statement of the next session, whose end erased it from the map that proxy_task::tick walks.

Change: loops that call out go over a copy of the owning pointers, the caller of an object that may be released holds it, and a statement has finished before it ends its transaction.

--- a/src/proxy/caller_task.cpp
+++ b/src/proxy/caller_task.cpp
@@ -365,6 +365,8 @@
 
 void caller_task::tick(time_point now)
 {
+    if (!socket_)
+        return; // it ended within the loop that calls this
     if (awaits_routes_ && (environment_.routes->loaded() || now - last_message_ > routes_timeout)) {
         open_session();
         process_lines();
@@ -374,7 +376,8 @@
         return;
     }
     if (run_) {
-        run_->tick(now);
+        const auto run = run_; // released when it finishes
+        run->tick(now);
         return;
     }
     if (transaction_ && now - last_message_ > environment_.routes->state().transaction_idle)
--- a/src/proxy/instance_pool.cpp
+++ b/src/proxy/instance_pool.cpp
@@ -209,8 +209,7 @@
             idle_too_long.push_back(idle_[n].upstream);
     }
     for (const auto &it : idle_too_long) {
-        idle_.erase(std::find_if(idle_.begin(), idle_.end(),
-                                 [&it](const auto &idle) { return idle.upstream == it; }));
+        std::erase_if(idle_, [&it](const auto &idle) { return idle.upstream == it; });
         drop(it);
     }
     end_slow_attempts(now);
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -114,6 +114,14 @@
     it->start();
 }
 
+std::vector<std::shared_ptr<caller_task>> proxy_task::sessions() const
+{
+    std::vector<std::shared_ptr<caller_task>> out;
+    for (const auto &it : callers_)
+        out.push_back(it.second);
+    return out;
+}
+
 void proxy_task::apply(directory::desired_state state)
 {
     const auto version = state.version;
@@ -192,12 +200,8 @@
         it.second->tick(now);
     for (const auto &it : failovers_)
         it.second->tick(now);
-    auto next = callers_.begin();
-    while (next != callers_.end()) {
-        const auto it = next->second; // tick() may erase the session
-        ++next;
+    for (const auto &it : sessions())
         it->tick(now);
-    }
     if (draining_since_)
         tick_drain(now);
 }
@@ -244,10 +248,7 @@
     if (since < balancer_delay)
         return;
     const bool end_transactions = since >= settings_.shutdown_time / 2;
-    auto next = callers_.begin();
-    while (next != callers_.end()) {
-        const auto it = next->second;
-        ++next;
+    for (const auto &it : sessions()) {
         if (end_transactions)
             it->end_transaction("the process stops");
         it->close_when_idle();
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -30,6 +30,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 struct event_base;
 
@@ -66,6 +67,7 @@
 private:
     void listen();
     void accept(int socket);
+    [[nodiscard]] std::vector<std::shared_ptr<caller_task>> sessions() const;
     void apply(directory::desired_state state);
     void apply(std::vector<directory::instance_record> records);
     void update_groups();
@@ -127,6 +129,7 @@
     std::uint64_t members_version_ = 0; ///< of `membership_`, or of an older build's list
     statement_executor executor_;
     session_environment environment_;
+    /// Any call of a session may end it or others, which erases them: loops go over `sessions()`.
     std::map<std::uint64_t, std::shared_ptr<caller_task>> callers_;
     std::uint64_t last_caller_ = 0;
     std::optional<http::http_server> probe_;
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -401,7 +401,10 @@
     if (!may_have_run)
         return refuse("no instance took the statement in its time");
     if (transaction_ && !is_commit()) {
-        drop_transaction(); // the statement may still be running; ending its transaction rolls it back
+        // The statement may still be running; ending its transaction rolls it back, and may answer it at
+        // once.
+        stage_ = stage::finished;
+        drop_transaction();
         return fail(answer_code::aborted, "the statement took longer than its route allows");
     }
     fail(changes_data() ? answer_code::in_doubt : answer_code::timed_out,
