The time of a draining instance counts from its last listing as ready

Cause: half of the bound counted from when a process first read the leaving. After an outage of the store that is seconds after it.

Change: the time ends by the bound after the instance was last listed as ready, less 500 ms for a statement's way. A peer's report of the same list counts as a listing only outside the recovery of the store, as the peer, too, keeps records that lapsed.

--- a/src/directory/instance_directory.cpp
+++ b/src/directory/instance_directory.cpp
@@ -27,8 +27,9 @@
         return std::nullopt;
     const auto previous = records_.find(record.id);
     if (previous != records_.end() && same_process(previous->second, record))
-        return previous->second.state == instance_state::draining ? previous->second.accepts_until
-                                                                  : now + draining_acceptance_time_;
+        return previous->second.state == instance_state::draining
+                   ? previous->second.accepts_until
+                   : std::min(now + drain_bound_ / 2, seen_at_.at(record.id) + drain_bound_ - delivery_time);
     // It may have begun to drain at any time while it was not listed.
     const auto removed = removed_.find(record.id);
     if (removed != removed_.end() && same_process(removed->second.record, record))
@@ -52,6 +53,7 @@
     for (auto &it : records) {
         listed_ids.insert(it.id);
         it.accepts_until = accepts_until(it, now);
+        seen_at_[it.id] = now;
         removed_.erase(it.id);
         const auto previous = records_.find(it.id);
         if (previous == records_.end()) {
@@ -70,9 +72,7 @@
         previous->second = std::move(it);
     }
 
-    const bool remove_missing =
-        available_since_ == time_point{} || now - available_since_ >= recovery_grace_period;
-    if (!remove_missing)
+    if (is_recovering(now))
         return out;
     for (auto it = records_.begin(); it != records_.end();) {
         if (listed_ids.count(it->first)) {
@@ -81,6 +81,7 @@
         }
         out.left.push_back(it->first);
         removed_[it->first] = {std::move(it->second), now};
+        seen_at_.erase(it->first);
         it = records_.erase(it);
     }
     return out;
@@ -93,6 +94,16 @@
         available_since_ = listed_at;
         unavailable_at_.reset();
     }
+    // Until the end of the recovery, the other process also keeps records that its listing lacked.
+    if (is_recovering(listed_at))
+        return;
+    for (auto &it : seen_at_)
+        it.second = std::max(it.second, listed_at);
+}
+
+bool instance_directory::is_recovering(time_point now) const
+{
+    return available_since_ != time_point{} && now - available_since_ < recovery_grace_period;
 }
 
 std::uint64_t instance_directory::digest() const
--- a/src/directory/instance_directory.h
+++ b/src/directory/instance_directory.h
@@ -43,22 +43,26 @@
     /// A longer interval between two listings counts as an outage of the store, as does a failed listing.
     static constexpr std::chrono::milliseconds outage_threshold{4000};
 
+    /// Time from the choice of an instance for a statement until the statement reaches it, at most.
+    static constexpr std::chrono::milliseconds delivery_time{500};
+
     /// How long a removed record is kept: longer than the sum of the minimum time for which a draining
     /// instance serves and the time for which its record may be missing. An instance whose record reappears
     /// later is treated as new.
     static constexpr std::chrono::milliseconds removed_record_retention{30000};
 
     /// A draining instance gets new statements for half of `drain_bound`, the minimum time for which it
-    /// serves, if this process has listed it as ready before. An instance first listed as draining may have
-    /// been draining for a long time and gets none. The default is the bound of the known sites.
+    /// serves, if this process has listed it as ready before. It may have announced its shutdown just after
+    /// that listing, so that the time ends by `drain_bound` after it. An instance first listed as draining
+    /// may have been draining for a long time and gets none. The default is the bound of the known sites.
     explicit instance_directory(std::chrono::milliseconds drain_bound = std::chrono::milliseconds(7000))
-        : draining_acceptance_time_(drain_bound / 2)
+        : drain_bound_(drain_bound)
     {
     }
 
     /// Sets the minimum time for which a draining instance serves. Applies to instances that begin to drain
     /// after the call.
-    void set_drain_bound(std::chrono::milliseconds bound) { draining_acceptance_time_ = bound / 2; }
+    void set_drain_bound(std::chrono::milliseconds bound) { drain_bound_ = bound; }
 
     /// Returns true if new statements may be sent to the instance.
     [[nodiscard]] static bool accepts_statements(const instance_record &record, time_point now);
@@ -98,9 +102,12 @@
     [[nodiscard]] std::optional<time_point> accepts_until(const instance_record &record,
                                                           time_point now) const;
 
-    std::chrono::milliseconds draining_acceptance_time_;
+    [[nodiscard]] bool is_recovering(time_point now) const;
+
+    std::chrono::milliseconds drain_bound_;
     std::map<std::string, instance_record> records_;
     std::map<std::string, removed_record> removed_; ///< by id; no id is also in `records_`
+    std::map<std::string, time_point> seen_at_;     ///< when each of `records_` was last in a listing
     mutable std::optional<std::uint64_t> digest_;   ///< of `records_`; none: not computed since they changed
     time_point last_listed_at_;
     std::optional<time_point>
--- a/tests/directory/test_directory.cpp
+++ b/tests/directory/test_directory.cpp
@@ -111,6 +111,39 @@
     CHECK(instance_directory::accepts_statements(*instances.find("a"), end));
 }
 
+// Guards against statements to an instance that leaves just before an outage of the store, long after it has
+// announced that (docs/incidents/left-before-outage.md).
+TEST_CASE("the time of a draining instance ends by the drain bound after it was last listed as ready")
+{
+    instance_directory instances; // with a bound of 7,000 ms
+    auto record = make_record("a");
+    instances.apply_listing({record, make_record("b")}, start);
+    const auto end = start + milliseconds(7000) - instance_directory::delivery_time;
+    instances.record_listing_failure(start + milliseconds(1000));
+    record.state = instance_state::draining;
+    SECTION("its record is there when the store answers again")
+    {
+        instances.apply_listing({record, make_record("b")}, start + milliseconds(5000));
+        CHECK(instance_directory::accepts_statements(*instances.find("a"), end - milliseconds(1)));
+        CHECK_FALSE(instance_directory::accepts_statements(*instances.find("a"), end));
+    }
+    SECTION("its record comes back later")
+    {
+        instances.apply_listing({make_record("b")}, start + milliseconds(5500));
+        instances.record_peer_listing(start + milliseconds(6000)); // of a process that misses it, too
+        CHECK(instance_directory::accepts_statements(*instances.find("a"), start + milliseconds(6000)));
+        instances.apply_listing({record, make_record("b")}, start + milliseconds(7400));
+        CHECK_FALSE(instance_directory::accepts_statements(*instances.find("a"), start + milliseconds(7400)));
+    }
+    SECTION("another process has listed it meanwhile")
+    {
+        instances.apply_listing({make_record("a"), make_record("b")}, start + milliseconds(2000));
+        instances.record_peer_listing(start + milliseconds(5000));
+        instances.apply_listing({record, make_record("b")}, start + milliseconds(6000));
+        CHECK(instance_directory::accepts_statements(*instances.find("a"), start + milliseconds(9499)));
+    }
+}
+
 TEST_CASE("a draining instance keeps its time limit while its record is missing")
 {
     instance_directory instances;
