Reports that arrive out of order take no confirmation back

Cause: reading the change: a member's direct report and the one through its home may arrive in another order than they were requested, and the older one replaced the newer. Not unsafe, but a confirmation then waited for a further report.

Change: the latest request counts.

--- a/src/failover/switchover.h
+++ b/src/failover/switchover.h
@@ -71,8 +71,7 @@
  * primary refuses connections: other processes may reach both. One that refuses connections is not running. A
  * process that requests the reports of all replicas therefore detects that a promotion is in progress, before
  * the new primary accepts its first write. One report is not enough: the promotion ends the pauses, and a
- * replica that receives nothing does not know the new term
- * (`replication::group_state`).
+ * replica that receives nothing does not know the new term (`replication::group_state`).
  */
 class switchover
 {
--- a/src/replication/group_state.cpp
+++ b/src/replication/group_state.cpp
@@ -19,7 +19,7 @@
         } else if (primary_ == id) {
             add_sample(report.received, requested_at);
         } else if (report.term < term_) {
-            not_promoted_at_[id] = requested_at;
+            record_not_promoted(id, requested_at);
             return confirmation::contested;
         }
         return confirmation::irrelevant;
@@ -34,7 +34,7 @@
         return confirmation::contested;
     }
     contested_ = false;
-    not_promoted_at_[id] = requested_at;
+    record_not_promoted(id, requested_at);
     if (report.term == term_)
         record_received(report.received);
     const auto confirmed_at = confirmed_by_reports(requested_at);
@@ -49,6 +49,12 @@
     unanswered_since_.emplace(id, requested_at);
 }
 
+void group_state::record_not_promoted(const std::string &id, time_point requested_at)
+{
+    auto &at = not_promoted_at_[id];
+    at = std::max(at, requested_at); // reports may arrive in another order than they were requested
+}
+
 bool group_state::is_silent(const std::string &id, time_point now) const
 {
     const auto it = unanswered_since_.find(id);
--- a/src/replication/group_state.h
+++ b/src/replication/group_state.h
@@ -109,6 +109,7 @@
 private:
     void begin_term(const std::string &id, std::uint64_t term);
     void add_sample(position log, time_point requested_at);
+    void record_not_promoted(const std::string &id, time_point requested_at);
     void record_received(position received);
     [[nodiscard]] bool is_silent(const std::string &id, time_point now) const;
     [[nodiscard]] time_point confirmed_by_reports(time_point now) const;
--- a/standins/line_group.cpp
+++ b/standins/line_group.cpp
@@ -112,8 +112,8 @@
     chosen.apply(chosen.log.size());
     for (const auto &it : instances_) {
         auto &other = *it.second;
-        other.paused_at =
-            0; // the protocol: a pause lasts "until RESUME, a promote, or the replica's restart"
+        // The protocol: a pause lasts "until `RESUME`, a promote, or the replica's restart".
+        other.paused_at = 0;
         if (&other == &chosen || other.primary || other.drops_replication || other.crashed())
             continue;
         other.receive_log(chosen.log);
--- a/tests/platform/test_line_codec.cpp
+++ b/tests/platform/test_line_codec.cpp
@@ -9,17 +9,28 @@
 using session::answer_code;
 using session::transaction_state;
 
+namespace {
+
+/// Returns the lines that the reader finds if it gets the bytes in parts of this size.
+std::vector<std::string> lines_of(line_reader &reader, const std::string &bytes, std::size_t step)
+{
+    std::vector<std::string> out;
+    for (std::size_t n = 0; n < bytes.size(); n += step) {
+        reader.append(std::string_view(bytes).substr(n, step));
+        while (auto line = reader.next())
+            out.push_back(std::move(*line));
+    }
+    return out;
+}
+
+} // namespace
+
 TEST_CASE("lines are complete for any fragmentation of their bytes")
 {
     const std::string bytes = "CONNECT a b\r\nQUERY 1 READ x\r\nQUIT\r\nREST";
     for (std::size_t step = 1; step <= bytes.size(); ++step) {
         line_reader reader;
-        std::vector<std::string> lines;
-        for (std::size_t n = 0; n < bytes.size(); n += step) {
-            reader.append(bytes.substr(n, step));
-            while (const auto line = reader.next())
-                lines.push_back(*line);
-        }
+        const auto lines = lines_of(reader, bytes, step);
         CHECK(lines == std::vector<std::string>{"CONNECT a b", "QUERY 1 READ x", "QUIT"});
     }
 }
@@ -41,12 +52,7 @@
     const std::string bytes = "QUERY 1 WRITE x a\nQUERY 2 READ y\r\nROW \r\r\nROW b\rc\r\n\nROW d\n\r\n";
     for (std::size_t step = 1; step <= bytes.size(); ++step) {
         line_reader reader;
-        std::vector<std::string> lines;
-        for (std::size_t n = 0; n < bytes.size(); n += step) {
-            reader.append(bytes.substr(n, step));
-            while (const auto line = reader.next())
-                lines.push_back(*line);
-        }
+        const auto lines = lines_of(reader, bytes, step);
         CHECK(lines == std::vector<std::string>{"QUERY 1 WRITE x a\nQUERY 2 READ y", "ROW \r", "ROW b\rc",
                                                 "\nROW d\n"});
     }
@@ -65,12 +71,7 @@
         for (const std::size_t step : {std::size_t{1000}, max_message, max_message + 1, max_message + 3}) {
             const auto bytes = std::string(max_message + extra, 'x') + "\r\nQUIT\r\n";
             line_reader reader;
-            std::vector<std::string> lines;
-            for (std::size_t n = 0; n < bytes.size(); n += step) {
-                reader.append(std::string_view(bytes).substr(n, step));
-                while (const auto line = reader.next())
-                    lines.push_back(*line);
-            }
+            const auto lines = lines_of(reader, bytes, step);
             INFO(extra << " more, in parts of " << step);
             CHECK(reader.overflowed() == (extra > 0));
             CHECK(lines.size() == (extra > 0 ? 0 : 2)); // nothing after a message that is too long
