Requests that arrive after the end of an HTTP server get 503

Cause: the destructor of http_server left its handler with libevhtp. A request that was in a socket's buffer was read by the loop afterwards and used the freed server. The sites of tests run the loop while they end; the product's servers end with the process.

Change: the destructor replaces the handler, also for requests that are half read.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -136,10 +136,14 @@
     {
         abort_connections();
         stop_listening();
-        // The event loop frees the connections after this object is destroyed; their hooks must not be
-        // called.
-        for (auto &[id, connection] : connections_)
+        // The event loop frees the connections after this object is destroyed, and before that it reads what
+        // they have received: neither hooks nor the handler must be called.
+        evhtp_set_gencb(htp_, refuse_request, nullptr);
+        for (auto &[id, connection] : connections_) {
             evhtp_connection_unset_hook(connection, evhtp_hook_on_connection_fini);
+            if (connection->request)
+                connection->request->cb = refuse_request;
+        }
     }
     impl(const impl &) = delete;
     impl &operator=(const impl &) = delete;
@@ -208,6 +212,11 @@
         return 0;
     }
 
+    static void refuse_request(evhtp_request_t *request, void * /*self*/)
+    {
+        evhtp_send_reply(request, EVHTP_RES_SERVUNAVAIL);
+    }
+
     static void on_request(evhtp_request_t *request, void *self)
     {
         auto *const me = static_cast<impl *>(self);
