--- a/src/replication/group_state.cpp
+++ b/src/replication/group_state.cpp
@@ -14,7 +14,7 @@
         if (report.term > term_ || (report.term == term_ && !primary_)) {
             begin_term(id, report.term);
             // The primary itself read the log position, after the request was sent and before its answer.
-            // Once a replica confirms the primary, it covers every commit acknowledged before the request.
+            // Once the primary is confirmed, it covers every commit acknowledged before the request.
             add_sample(report.received, requested_at);
         } else if (primary_ == id) {
             add_sample(report.received, requested_at);
