The stand-in of an instance records the shape and the transaction of each statement

Its account of an EXECUTE was the text alone, so that no test could see which shape ran under the name. It now keeps kind and shape by name, and numbers its transactions; a PREPARE without a kind or a shape gets MALFORMED, as the protocol's grammar has it.

--- a/standins/line_group.h
+++ b/standins/line_group.h
@@ -29,6 +29,8 @@
     std::string text;
     std::map<std::string, std::string> values; ///< session values of its connection
     bool in_transaction = false;
+    std::uint64_t transaction = 0; ///< number of the instance's transaction; 0: outside any
+    std::string shape;             ///< of an `EXECUTE`: kind and shape that were prepared under its name
 };
 
 /// Limits and timing of the instances of a group.
--- a/standins/line_instance.cpp
+++ b/standins/line_instance.cpp
@@ -40,8 +40,9 @@
     bool open = false;
     char state = 'I';
     bool read_only = false;
+    std::uint64_t transaction = 0; ///< number of the transaction that began last
     std::map<std::string, std::string> values;
-    std::map<std::string, std::string> prepared;           ///< kind (`READ` or `WRITE`) by name
+    std::map<std::string, std::string> prepared;           ///< kind (`READ` or `WRITE`) and shape by name
     std::map<std::string, std::string> uncommitted_writes; ///< of the open transaction, by item
 
     connection() = default;
@@ -272,16 +273,19 @@
     }
     auto rest = text;
     auto word = pop_word(rest);
+    std::string shape;
     if (word == "EXECUTE") {
-        const auto prepared_kind = from.prepared.find(pop_word(rest));
-        if (prepared_kind == from.prepared.end())
+        const auto prepared = from.prepared.find(pop_word(rest));
+        if (prepared == from.prepared.end())
             return send_error(from, "UNKNOWN");
-        word = prepared_kind->second;
+        shape = prepared->second;
+        word = shape.substr(0, shape.find(' '));
     }
     const bool in_transaction = from.state == 'T';
     if (!primary && (word == "WRITE" || (in_transaction && !from.read_only)))
         return send_error(from, "READONLY");
-    group_.ran.push_back({id_, from.number, id, text, from.values, in_transaction});
+    group_.ran.push_back({id_, from.number, id, text, from.values, in_transaction,
+                          in_transaction ? from.transaction : 0, shape});
     std::string rows;
     if (word == "READ") {
         const auto own_write = from.uncommitted_writes.find(rest);
@@ -310,6 +314,7 @@
         if (!primary && rest.empty())
             return send_error(from, "READONLY");
         from.state = 'T';
+        from.transaction = ++last_transaction_;
         from.read_only = !rest.empty();
     } else if (word == "ROLLBACK") {
         from.state = 'I';
@@ -319,7 +324,10 @@
         from.values[name] = words;
     } else if (word == "PREPARE") {
         const auto name = pop_word(words);
-        from.prepared[name] = pop_word(words);
+        const auto kind = words.substr(0, words.find(' '));
+        if (name.empty() || (kind != "READ" && kind != "WRITE") || words.size() <= kind.size() + 1)
+            return send_error(from, "MALFORMED");
+        from.prepared[name] = words;
     } else if (word == "RESET") {
         from.values.clear();
         from.prepared.clear();
--- a/standins/line_instance.h
+++ b/standins/line_instance.h
@@ -102,6 +102,7 @@
     std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
     std::uint64_t last_connection_ = 0;
     std::uint64_t last_receipt_ = 0;
+    std::uint64_t last_transaction_ = 0;
     std::size_t applied_ = 0; ///< number of log entries that reads use
     std::list<job> jobs_;     ///< running jobs, then waiting ones
     std::uint64_t last_job_ = 0;
