The log names the connection that a statement's state was set up on

Cause: "the connection could not be prepared" left out the instance's answer, and no line told which connection ran a statement or what had been set up there, so that the hypotheses of the incident (a name of several words, cut lines, a connection in another state than noted) looked alike. Change: connection_prepared (a sample), prepared_statement_unknown, the connection's number and the instance's answer in work_lost.

--- a/src/proxy/instance_pool.cpp
+++ b/src/proxy/instance_pool.cpp
@@ -85,6 +85,7 @@
     if (all_.size() >= refused_above_ && opening() > 0)
         return;
     auto it = std::make_shared<upstream_connection>(base_, target_);
+    it->number = ++last_connection_number_;
     health_.requested();
     all_.push_back(it);
     auto *const raw = it.get();
--- a/src/proxy/instance_pool.h
+++ b/src/proxy/instance_pool.h
@@ -136,6 +136,7 @@
     std::list<waiter> waiting_;   ///< in order of arrival
     time_point retry_at_;
     request_id last_request_id_ = 0;
+    std::uint64_t last_connection_number_ = 0;
     bool retired_ = false;
 };
 
--- a/src/proxy/local_executor.cpp
+++ b/src/proxy/local_executor.cpp
@@ -57,6 +57,21 @@
     instance_pool::connection connection_;
 };
 
+namespace {
+
+/// Returns why a statement that prepares a connection failed; empty if it succeeded.
+std::string preparation_failure(const char *what, const std::optional<session::statement_answer> &answer)
+{
+    if (!answer)
+        return "the connection was lost";
+    if (!answer->error)
+        return {};
+    return std::string(what) + " got " + std::string(platform::code_word(answer->error->code)) + ' ' +
+           answer->error->text;
+}
+
+} // namespace
+
 void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it)
 {
     if (it->is_closed())
@@ -168,45 +183,60 @@
     struct progress
     {
         int outstanding = 1; ///< outstanding answers, and 1 until this function has sent all its statements
-        bool failed = false;
+        std::string failure; ///< of the first statement that failed; empty: none
     };
     const auto state = std::make_shared<progress>();
-    const auto one_done = [self = shared_from_this(), state](bool ok) {
-        state->failed = state->failed || !ok;
+    const auto one_done = [self = shared_from_this(), state](const std::string &failure) {
+        if (state->failure.empty())
+            state->failure = failure;
         if (--state->outstanding > 0)
             return;
-        if (state->failed)
-            self->fail_connection(execute_outcome::not_run, "the connection could not be prepared");
-        else
+        if (state->failure.empty())
             self->begin();
+        else
+            self->fail_connection(execute_outcome::not_run,
+                                  "the connection could not be prepared: " + state->failure);
     };
-    const auto send = [&it, state, one_done](const std::string &text) {
+    const auto send = [&it, state, one_done](const char *what, const std::string &text) {
         ++state->outstanding;
         it.send(platform::own_statement_id, text,
-                [one_done](const auto &answer) { one_done(answer && !answer->error); });
+                [one_done, what](const auto &answer) { one_done(preparation_failure(what, answer)); });
     };
     if (request_.id == platform::own_statement_id) { // needs no session state
-        one_done(true);
+        one_done({});
         return;
     }
     const auto &wanted = request_.values;
     const bool has_others = std::any_of(it.values.begin(), it.values.end(),
                                         [&wanted](const auto &value) { return !wanted.count(value.first); });
-    if (has_others && it.state() == transaction_state::none) {
+    const bool resets = has_others && it.state() == transaction_state::none;
+    if (resets) {
         it.values.clear();
         it.prepared.clear();
-        send(platform::reset_text());
+        send("reset", platform::reset_text());
     }
+    int values_set = 0;
     for (const auto &[name, value] : wanted) {
         const auto known = it.values.find(name);
         if (known != it.values.end() && known->second == value)
             continue;
         it.values[name] = value;
-        send(platform::set_text(name, value));
+        ++values_set;
+        send("session value", platform::set_text(name, value));
     }
-    if (request_.prepared && it.prepared.insert(request_.prepared->shared_name()).second)
-        send(platform::prepare_text(*request_.prepared));
-    one_done(true);
+    const bool prepares = request_.prepared && it.prepared.insert(request_.prepared->shared_name()).second;
+    if (prepares)
+        send("prepared statement", platform::prepare_text(*request_.prepared));
+    if (resets || values_set > 0 || prepares) {
+        support::log_routine("connection_prepared",
+                             {{"id", request_.id},
+                              {"instance", request_.instance},
+                              {"connection", std::to_string(it.number)},
+                              {"reset", resets ? "yes" : "no"},
+                              {"values", std::to_string(values_set)},
+                              {"prepared", prepares ? request_.prepared->shared_name() : ""}});
+    }
+    one_done({});
 }
 
 void local_executor::execution::begin()
@@ -247,8 +277,14 @@
         fail_connection(execute_outcome::lost, "the connection was lost");
         return;
     }
-    if (answer->error && answer->error->code == session::answer_code::unknown_name && request_.prepared)
+    if (answer->error && answer->error->code == session::answer_code::unknown_name && request_.prepared) {
+        support::log_warning("prepared_statement_unknown",
+                             {{"id", request_.id},
+                              {"instance", request_.instance},
+                              {"connection", std::to_string(connection_->number)},
+                              {"prepared", request_.prepared->shared_name()}});
         connection_->prepared.erase(request_.prepared->shared_name());
+    }
     inner::execute_answer out{execute_outcome::answered, {}, false, *answer, 0};
     const bool open = answer->end.state == transaction_state::open;
     if (open && (request_.begin != begin_mode::none || request_.transaction != 0)) {
@@ -271,6 +307,7 @@
     support::log_event("work_lost",
                        {{"id", request_.id},
                         {"instance", request_.instance},
+                        {"connection", std::to_string(connection_->number)},
                         {"outcome", outcome == execute_outcome::lost ? "may have run" : "not run"},
                         {"reason", reason}});
     pool_->drop(connection_);
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -9,6 +9,7 @@
 #include "support/boot_clock.h"
 
 #include <chrono>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -90,6 +91,8 @@
     /// The connection is closed if a statement is still unanswered at this time.
     time_point deadline;
 
+    std::uint64_t number = 0; ///< within its pool, for logs
+
     /// Session values that earlier users have set on the connection.
     session::session_values values;
     std::set<std::string> prepared; ///< prepared statements, by shared name
