Prepared statements have a name of one word on each connection

Cause: the name on a connection was made of kind and shape, "w_" and the shape's text. A shape may hold blanks, a name may not: the instance read the name up to the first blank and the rest as data. So a PREPARE of "q2c READ ulwqrp" also replaced the name w_q2c of every other session on that connection. Cut lines and a connection in another state than noted would not follow the shape's text. Change: a connection numbers the statements that are prepared on it (p1, p2, ...); session::connection_state decides what a session needs there. A number is a word whatever the shape holds, and is not used twice, so that a forgotten name cannot stand for another shape. Requests between processes keep their form: the process that owns the connection replaces the name, whose length it knows from the shape; a request whose text does not name its shape is refused.

--- a/src/platform/line_codec.cpp
+++ b/src/platform/line_codec.cpp
@@ -245,14 +245,29 @@
     return rest.empty() ? "EXECUTE " + name : "EXECUTE " + name + ' ' + std::string(rest);
 }
 
+std::optional<std::string> rename_execute(std::string_view text, std::string_view name,
+                                          std::string_view new_name)
+{
+    constexpr std::string_view word = "EXECUTE ";
+    if (!text.starts_with(word) || !text.substr(word.size()).starts_with(name))
+        return std::nullopt;
+    const auto rest = text.substr(word.size() + name.size());
+    if (!rest.empty() && rest.front() != ' ')
+        return std::nullopt;
+    std::string out(word);
+    out += new_name;
+    out += rest;
+    return out;
+}
+
 std::string set_text(const std::string &name, const std::string &value)
 {
     return "SET " + name + ' ' + value;
 }
 
-std::string prepare_text(const session::prepared_statement &prepared)
+std::string prepare_text(const session::named_statement &it)
 {
-    return "PREPARE " + prepared.shared_name() + (prepared.writes ? " WRITE " : " READ ") + prepared.shape;
+    return "PREPARE " + it.name + (it.prepared.writes ? " WRITE " : " READ ") + it.prepared.shape;
 }
 
 std::string rollback_text()
--- a/src/platform/line_codec.h
+++ b/src/platform/line_codec.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "replication/member_report.h"
+#include "session/connection_state.h"
 #include "session/messages.h"
-#include "session/session_context.h"
 
 #include <optional>
 #include <string>
@@ -67,8 +67,13 @@
 [[nodiscard]] std::string begin_text(bool read_only, const std::optional<consistency::position> &at_least);
 [[nodiscard]] std::string at_least_text(const consistency::position &floor, std::string_view text);
 [[nodiscard]] std::string execute_text(const std::string &name, std::string_view rest);
+
+/// Returns an execute in which `name` is replaced by `new_name`, or none if the text is not an execute of
+/// `name`. The rest of the text stays as it is; `name` may hold blanks.
+[[nodiscard]] std::optional<std::string> rename_execute(std::string_view text, std::string_view name,
+                                                        std::string_view new_name);
 [[nodiscard]] std::string set_text(const std::string &name, const std::string &value);
-[[nodiscard]] std::string prepare_text(const session::prepared_statement &prepared);
+[[nodiscard]] std::string prepare_text(const session::named_statement &it);
 [[nodiscard]] std::string rollback_text();
 [[nodiscard]] std::string reset_text();
 [[nodiscard]] std::string status_text();
--- a/src/proxy/instance_pool.cpp
+++ b/src/proxy/instance_pool.cpp
@@ -166,7 +166,7 @@
         auto chosen = idle_.end() - 1;
         if (values) {
             const auto same = std::find_if(idle_.begin(), idle_.end(), [values](const auto &it) {
-                return it.upstream->values == *values;
+                return it.upstream->session_state.values() == *values;
             });
             if (same != idle_.end())
                 chosen = same;
--- a/src/proxy/local_executor.cpp
+++ b/src/proxy/local_executor.cpp
@@ -41,6 +41,7 @@
     void run_on_new_connection();
     void run_in_transaction(open_transaction &transaction);
     void prepare();
+    void log_setup(const session::connection_setup &setup) const;
     void begin();
     void send();
     void handle_answer(const std::optional<session::statement_answer> &answer);
@@ -206,39 +207,33 @@
         one_done({});
         return;
     }
-    const auto &wanted = request_.values;
-    const bool has_others = std::any_of(it.values.begin(), it.values.end(),
-                                        [&wanted](const auto &value) { return !wanted.count(value.first); });
-    const bool resets = has_others && it.state() == transaction_state::none;
-    if (resets) {
-        it.values.clear();
-        it.prepared.clear();
+    const auto setup =
+        it.session_state.require(request_.values, request_.prepared, it.state() != transaction_state::none);
+    if (setup.reset)
         send("reset", platform::reset_text());
-    }
-    int values_set = 0;
-    for (const auto &[name, value] : wanted) {
-        const auto known = it.values.find(name);
-        if (known != it.values.end() && known->second == value)
-            continue;
-        it.values[name] = value;
-        ++values_set;
+    for (const auto &[name, value] : setup.values)
         send("session value", platform::set_text(name, value));
-    }
-    const bool prepares = request_.prepared && it.prepared.insert(request_.prepared->shared_name()).second;
-    if (prepares)
-        send("prepared statement", platform::prepare_text(*request_.prepared));
-    if (resets || values_set > 0 || prepares) {
-        support::log_routine("connection_prepared",
-                             {{"id", request_.id},
-                              {"instance", request_.instance},
-                              {"connection", std::to_string(it.number)},
-                              {"reset", resets ? "yes" : "no"},
-                              {"values", std::to_string(values_set)},
-                              {"prepared", prepares ? request_.prepared->shared_name() : ""}});
-    }
+    if (setup.prepare)
+        send("prepared statement", platform::prepare_text(*setup.prepare));
+    if (!setup.empty())
+        log_setup(setup);
     one_done({});
 }
 
+void local_executor::execution::log_setup(const session::connection_setup &setup) const
+{
+    constexpr std::size_t shape_bytes = 64;
+    const auto &prepare = setup.prepare;
+    support::log_routine("connection_prepared",
+                         {{"id", request_.id},
+                          {"instance", request_.instance},
+                          {"connection", std::to_string(connection_->number)},
+                          {"reset", setup.reset ? "yes" : "no"},
+                          {"values", std::to_string(setup.values.size())},
+                          {"prepared", prepare ? prepare->name : ""},
+                          {"shape", prepare ? prepare->prepared.shape.substr(0, shape_bytes) : ""}});
+}
+
 void local_executor::execution::begin()
 {
     if (request_.begin == begin_mode::none || request_.transaction != 0) {
@@ -264,6 +259,10 @@
 void local_executor::execution::send()
 {
     auto text = request_.text;
+    if (request_.prepared) {
+        const auto &name = connection_->session_state.name_of(*request_.prepared);
+        text = platform::rename_execute(text, request_.prepared->peer_name(), name).value();
+    }
     const bool outside_transaction = request_.begin == begin_mode::none && request_.transaction == 0;
     if (outside_transaction && request_.floor)
         text = platform::at_least_text(*request_.floor, text);
@@ -282,8 +281,8 @@
                              {{"id", request_.id},
                               {"instance", request_.instance},
                               {"connection", std::to_string(connection_->number)},
-                              {"prepared", request_.prepared->shared_name()}});
-        connection_->prepared.erase(request_.prepared->shared_name());
+                              {"prepared", connection_->session_state.name_of(*request_.prepared)}});
+        connection_->session_state.forget(*request_.prepared);
     }
     inner::execute_answer out{execute_outcome::answered, {}, false, *answer, 0};
     const bool open = answer->end.state == transaction_state::open;
@@ -355,11 +354,15 @@
     const auto open = state_->transactions.find(request.transaction);
     if (!pool && open != state_->transactions.end())
         pool = open->second.pool; // the instance is no longer listed; its open transactions may still end
+    const bool consistent =
+        !request.prepared || platform::rename_execute(request.text, request.prepared->peer_name(), {});
     const auto it = std::make_shared<execution>(state_, owner, std::move(request), std::move(done));
-    if (pool)
-        it->schedule(pool);
-    else
+    if (!pool)
         it->not_run("the instance is not known");
+    else if (!consistent)
+        it->not_run("the text does not name the prepared statement");
+    else
+        it->schedule(pool);
 }
 
 void local_executor::start_waiting(shared_state &state, admission::slot_scheduler &scheduler, time_point now)
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -174,7 +174,7 @@
     execution_request.prepared = request_.prepared;
     execution_request.id = request_.id;
     execution_request.text =
-        request_.prepared ? platform::execute_text(request_.prepared->shared_name(), request_.parsed.argument)
+        request_.prepared ? platform::execute_text(request_.prepared->peer_name(), request_.parsed.argument)
                           : request_.text;
     if (transaction_) {
         execution_request.transaction = transaction_->id;
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "platform/line_codec.h"
+#include "session/connection_state.h"
 #include "session/messages.h"
-#include "session/session_context.h"
 #include "support/address.h"
 #include "support/boot_clock.h"
 
@@ -14,7 +14,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 struct event_base;
@@ -93,9 +92,7 @@
 
     std::uint64_t number = 0; ///< within its pool, for logs
 
-    /// Session values that earlier users have set on the connection.
-    session::session_values values;
-    std::set<std::string> prepared; ///< prepared statements, by shared name
+    session::connection_state session_state; ///< set up by the sessions that have used the connection
 
 private:
     struct pending
--- a/src/session/session_context.h
+++ b/src/session/session_context.h
@@ -5,6 +5,7 @@
 #include "consistency/position.h"
 #include "session/statement.h"
 
+#include <compare>
 #include <map>
 #include <optional>
 #include <string>
@@ -17,10 +18,11 @@
     bool writes = false;
     std::string shape;
 
-    bool operator==(const prepared_statement &) const = default;
+    auto operator<=>(const prepared_statement &) const = default;
 
-    /// Returns the name that the proxy uses for it on every connection.
-    [[nodiscard]] std::string shared_name() const { return (writes ? "w_" : "r_") + shape; }
+    /// Returns the name that requests between processes use for it. It may hold blanks, and is no name for an
+    /// instance.
+    [[nodiscard]] std::string peer_name() const { return (writes ? "w_" : "r_") + shape; }
 };
 
 /// Values by name, as set by a session.
--- a/tests/platform/test_line_codec.cpp
+++ b/tests/platform/test_line_codec.cpp
@@ -124,7 +124,7 @@
     CHECK(begin_text(false, std::nullopt) == "BEGIN");
     CHECK(at_least_text({3, 1207}, "READ 1a4") == "AFTER 3.1207 READ 1a4");
     CHECK(execute_text("w_q", "1a4 x") == "EXECUTE w_q 1a4 x");
-    CHECK(prepare_text({true, "q2c"}) == "PREPARE w_q2c WRITE q2c");
+    CHECK(prepare_text({"p1", {true, "q2c"}}) == "PREPARE p1 WRITE q2c");
     CHECK(pause_text(4) == "PAUSE 4");
     CHECK(step_down_text(5) == "STEPDOWN 5");
 }
@@ -143,3 +143,13 @@
                                   "replica x 3.1209 0 12 2 17", "replica 3 3.1209 0 12 2"})
         CHECK_FALSE(read_member_report(row));
 }
+
+TEST_CASE("an execute gets another name and keeps the rest of its text byte for byte")
+{
+    CHECK(rename_execute("EXECUTE s1 x  y ", "s1", "p7") == "EXECUTE p7 x  y ");
+    CHECK(rename_execute("EXECUTE s1", "s1", "p7") == "EXECUTE p7");
+    CHECK(rename_execute("EXECUTE s1 ", "s1", "p7") == "EXECUTE p7 ");
+    CHECK(rename_execute("EXECUTE w_q READ u x", "w_q READ u", "p7") == "EXECUTE p7 x");
+    CHECK_FALSE(rename_execute("EXECUTE s12 x", "s1", "p7"));
+    CHECK_FALSE(rename_execute("READ s1 x", "s1", "p7"));
+}
--- a/tests/session/test_statement.cpp
+++ b/tests/session/test_statement.cpp
@@ -48,7 +48,7 @@
     CHECK(session.set_value("a", "2"));
     CHECK(session.values().at("a") == "2");
     CHECK(session.prepare("s", {false, "q1"}));
-    CHECK(session.find_prepared("s")->shared_name() != prepared_statement{true, "q1"}.shared_name());
+    CHECK(session.find_prepared("s")->peer_name() != prepared_statement{true, "q1"}.peer_name());
     CHECK(session.close_prepared("s"));
     CHECK_FALSE(session.close_prepared("s"));
     CHECK(session.find_prepared("s") == nullptr);
