An execute reaches the instance with its blanks

Cause: the text was composed anew of the parsed name and arguments, and an empty argument was taken for none. Change: the name is replaced within the caller's text; execute_text goes.

--- a/src/platform/line_codec.cpp
+++ b/src/platform/line_codec.cpp
@@ -240,11 +240,6 @@
     return "AFTER " + position_text(floor) + ' ' + std::string(text);
 }
 
-std::string execute_text(const std::string &name, std::string_view rest)
-{
-    return rest.empty() ? "EXECUTE " + name : "EXECUTE " + name + ' ' + std::string(rest);
-}
-
 std::optional<std::string> rename_execute(std::string_view text, std::string_view name,
                                           std::string_view new_name)
 {
--- a/src/platform/line_codec.h
+++ b/src/platform/line_codec.h
@@ -66,8 +66,6 @@
 /// Return the texts of statements that the proxy sends.
 [[nodiscard]] std::string begin_text(bool read_only, const std::optional<consistency::position> &at_least);
 [[nodiscard]] std::string at_least_text(const consistency::position &floor, std::string_view text);
-[[nodiscard]] std::string execute_text(const std::string &name, std::string_view rest);
-
 /// Returns an execute in which `name` is replaced by `new_name`, or none if the text is not an execute of
 /// `name`. The rest of the text stays as it is; `name` may hold blanks.
 [[nodiscard]] std::optional<std::string> rename_execute(std::string_view text, std::string_view name,
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -173,9 +173,11 @@
     execution_request.values = session_->values();
     execution_request.prepared = request_.prepared;
     execution_request.id = request_.id;
-    execution_request.text =
-        request_.prepared ? platform::execute_text(request_.prepared->peer_name(), request_.parsed.argument)
-                          : request_.text;
+    execution_request.text = request_.text;
+    if (request_.prepared)
+        execution_request.text =
+            platform::rename_execute(request_.text, request_.parsed.name, request_.prepared->peer_name())
+                .value();
     if (transaction_) {
         execution_request.transaction = transaction_->id;
         execution_request.begin =
--- a/tests/platform/test_line_codec.cpp
+++ b/tests/platform/test_line_codec.cpp
@@ -123,7 +123,7 @@
     CHECK(begin_text(true, consistency::position{3, 1207}) == "AFTER 3.1207 BEGIN READ");
     CHECK(begin_text(false, std::nullopt) == "BEGIN");
     CHECK(at_least_text({3, 1207}, "READ 1a4") == "AFTER 3.1207 READ 1a4");
-    CHECK(execute_text("w_q", "1a4 x") == "EXECUTE w_q 1a4 x");
+    CHECK(rename_execute("EXECUTE s1 1a4 x", "s1", "w_q") == "EXECUTE w_q 1a4 x");
     CHECK(prepare_text({"p1", {true, "q2c"}}) == "PREPARE p1 WRITE q2c");
     CHECK(pause_text(4) == "PAUSE 4");
     CHECK(step_down_text(5) == "STEPDOWN 5");
