A statement with the id of the proxy's own statements is refused

Callers saw: a statement sent with the id "-" ran with the values that other sessions had left on the connection, or none (rule PINNED), and without its own. Cause: the home of an instance recognises the proxy's own statements, which need no session state and no slot, by their id, and a caller could send the same one. Change: the session answers MALFORMED; nothing is sent.

--- a/src/proxy/caller_task.cpp
+++ b/src/proxy/caller_task.cpp
@@ -167,6 +167,10 @@
         close_after_write();
         return;
     }
+    if (message.id == platform::own_statement_id) {
+        reply_failure(answer_code::malformed, "this id is reserved for the proxy's own statements");
+        return;
+    }
     const auto parsed = session::parse_statement(message.text);
     if (!parsed) {
         reply_failure(answer_code::malformed, "not a statement");
