--- a/src/proxy/local_executor.h
+++ b/src/proxy/local_executor.h
@@ -2,14 +2,12 @@
 
 #pragma once
 
-#include "admission/slot_scheduler.h"
-#include "admission/status_sharing.h"
 #include "inner/execute_messages.h"
 #include "proxy/instance_pool.h"
+#include "proxy/statement_execution.h"
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 
@@ -22,13 +20,11 @@
 class local_executor
 {
 public:
-    using answer_hook = std::function<void(const inner::execute_answer &)>;
+    using answer_hook = statement_execution::answer_hook;
     using pool_hook = std::function<std::shared_ptr<instance_pool>(const std::string &service,
                                                                    const std::string &instance)>;
 
-    /// Time after the statement's deadline in which an answer is still accepted; then the connection is
-    /// closed.
-    static constexpr std::chrono::milliseconds answer_grace_period{500};
+    static constexpr auto answer_grace_period = statement_execution::answer_grace_period;
 
     explicit local_executor(pool_hook pools) : pools_(std::move(pools)) {}
 
@@ -54,35 +50,12 @@
     [[nodiscard]] std::size_t open_transactions() const { return state_->transactions.size(); }
 
 private:
-    struct open_transaction
-    {
-        std::uint64_t owner = 0;
-        std::shared_ptr<instance_pool> pool;
-        instance_pool::connection connection;
-        time_point used_at;
-        bool running = false; ///< a statement is in progress
-    };
-    class execution;
-    /// Shared with the statements in progress, which may outlive the object.
-    struct shared_state
-    {
-        std::map<std::uint64_t, open_transaction> transactions;
-        /// Starts at a random number: a peer may still refer to a transaction of the VM's previous process.
-        std::uint64_t last_transaction = random_start();
-        std::map<std::string, admission::slot_scheduler> schedulers; ///< by instance
-        std::map<std::uint64_t, std::shared_ptr<execution>> waiting; ///< for a slot, by key
-        std::uint64_t last_key = 0;
-        admission::status_sharing<inner::execute_answer> status_requests;
-    };
-
     void start(std::uint64_t owner, inner::execute_request request, answer_hook done);
     void send_status_request(const inner::execute_request &request);
-    static std::uint64_t random_start();
-    static void start_waiting(shared_state &state, admission::slot_scheduler &scheduler, time_point now);
     void end_idle(time_point now, std::chrono::milliseconds limit);
 
     pool_hook pools_;
-    std::shared_ptr<shared_state> state_ = std::make_shared<shared_state>();
+    std::shared_ptr<executor_state> state_ = std::make_shared<executor_state>();
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< callbacks keep a weak pointer to it
 };
 
@@ -94,7 +67,4 @@
     std::function<void(const std::string &vm, std::uint64_t transaction)> end_transaction;
 };
 
-/// Returns a connection to its pool; an open transaction on it is rolled back first.
-void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it);
-
 } // namespace baobabport::proxy
--- /dev/null
+++ b/src/proxy/statement_execution.h
@@ -0,0 +1,97 @@
+// One statement at the home of its instance: wait for a slot and a connection, preparation, statement,
+// answer.
+
+#pragma once
+
+#include "admission/slot_scheduler.h"
+#include "admission/status_sharing.h"
+#include "inner/execute_messages.h"
+#include "proxy/instance_pool.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace baobabport::proxy {
+
+class statement_execution;
+
+/// A transaction that is open at an instance.
+struct open_transaction
+{
+    std::uint64_t owner = 0;
+    std::shared_ptr<instance_pool> pool;
+    instance_pool::connection connection;
+    time_point used_at;
+    bool running = false; ///< a statement is in progress
+};
+
+/// What the statements of one executor share; they may outlive the executor.
+struct executor_state
+{
+    std::map<std::uint64_t, open_transaction> transactions;
+    /// Starts at a random number: a peer may still refer to a transaction of the VM's previous process.
+    std::uint64_t last_transaction = random_start();
+    std::map<std::string, admission::slot_scheduler> schedulers;           ///< by instance
+    std::map<std::uint64_t, std::shared_ptr<statement_execution>> waiting; ///< for a slot, by key
+    std::uint64_t last_key = 0;
+    admission::status_sharing<inner::execute_answer> status_requests;
+
+    static std::uint64_t random_start();
+};
+
+/**
+ * One statement in progress at the home of its instance.
+ */
+class statement_execution : public std::enable_shared_from_this<statement_execution>
+{
+public:
+    using answer_hook = std::function<void(const inner::execute_answer &)>;
+
+    /// Time after the statement's deadline in which an answer is still accepted; then the connection is
+    /// closed.
+    static constexpr std::chrono::milliseconds answer_grace_period{500};
+
+    /// The hook is called once.
+    statement_execution(std::shared_ptr<executor_state> state, std::uint64_t owner,
+                        inner::execute_request request, answer_hook done);
+
+    /// Runs the statement when a slot is free, or refuses it.
+    void schedule(const std::shared_ptr<instance_pool> &pool);
+    void run();
+    void refuse_overloaded(std::chrono::microseconds expected_wait);
+    [[nodiscard]] std::uint32_t priority() const { return request_.priority; }
+
+    void not_run(std::string reason);
+
+private:
+    void run_on_new_connection();
+    void run_in_transaction(open_transaction &transaction);
+    void prepare();
+    void log_setup(const session::connection_setup &setup) const;
+    void begin();
+    void send();
+    void handle_answer(const std::optional<session::statement_answer> &answer);
+    void fail_connection(inner::execute_outcome outcome, std::string reason);
+    void finish(const inner::execute_answer &answer);
+
+    std::shared_ptr<executor_state> state_;
+    std::uint64_t owner_;
+    inner::execute_request request_;
+    answer_hook done_;
+    time_point deadline_;
+    std::uint64_t key_ = 0; ///< at the scheduler; 0: not scheduled
+    std::shared_ptr<instance_pool> pool_;
+    instance_pool::connection connection_;
+};
+
+/// Runs the statements to which the scheduler gives a slot.
+void start_waiting(executor_state &state, admission::slot_scheduler &scheduler, time_point now);
+
+/// Returns a connection to its pool; an open transaction on it is rolled back first.
+void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it);
+
+} // namespace baobabport::proxy
