A statement that is too long with what the proxy adds to it is refused

Callers saw: a read of nearly 1 MiB, legal as sent, failed after its whole time, on instance after instance; with the floor in front of it ("AFTER TERM.NUMBER"), or with the connection's name of its shape, its message was over the limit, which ends a connection. Cause: nothing compared the composed message with the limit. Change: the home compares the final texts of PREPARE and statement before it sends them, and answers MALFORMED; the connection stays, in a transaction as outside.

--- a/src/platform/line_codec.cpp
+++ b/src/platform/line_codec.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::string_view no_position = "-";
 constexpr std::string_view line_ending = "\r\n";
+constexpr std::string_view statement_word = "QUERY ";
 
 struct code_name
 {
@@ -220,9 +221,14 @@
     end_line(out);
 }
 
+bool statement_fits(std::string_view id, std::string_view text)
+{
+    return statement_word.size() + id.size() + 1 + text.size() <= max_message;
+}
+
 void write_statement(std::string_view id, std::string_view text, std::string &out)
 {
-    out += "QUERY ";
+    out += statement_word;
     out += id;
     out += ' ';
     out += text;
--- a/src/platform/line_codec.h
+++ b/src/platform/line_codec.h
@@ -63,6 +63,9 @@
                 std::string &out);
 void write_statement(std::string_view id, std::string_view text, std::string &out);
 
+/// Returns true if the message of a statement is not longer than `max_message`.
+[[nodiscard]] bool statement_fits(std::string_view id, std::string_view text);
+
 /// Return the texts of statements that the proxy sends.
 [[nodiscard]] std::string begin_text(bool read_only, const std::optional<consistency::position> &at_least);
 [[nodiscard]] std::string at_least_text(const consistency::position &floor, std::string_view text);
--- a/src/proxy/statement_execution.cpp
+++ b/src/proxy/statement_execution.cpp
@@ -178,8 +178,15 @@
         send("reset", platform::reset_text());
     for (const auto &[name, value] : setup.values)
         send("session value", platform::set_text(name, value));
-    if (setup.prepare)
-        send("prepared statement", platform::prepare_text(*setup.prepare));
+    if (setup.prepare) {
+        const auto text = platform::prepare_text(*setup.prepare);
+        too_long_ = !platform::statement_fits(platform::own_statement_id, text);
+        if (too_long_)
+            it.session_state.forget(*request_.prepared);
+        else
+            send("prepared statement", text);
+    }
+    too_long_ = too_long_ || !platform::statement_fits(request_.id, statement_text());
     if (!setup.empty())
         log_setup(setup);
     one_done({});
@@ -201,6 +208,10 @@
 
 void statement_execution::begin()
 {
+    if (too_long_) {
+        reject("the statement is too long for an instance");
+        return;
+    }
     if (request_.begin == begin_mode::none || request_.transaction != 0) {
         send();
         return;
@@ -221,7 +232,7 @@
     });
 }
 
-void statement_execution::send()
+std::string statement_execution::statement_text() const
 {
     auto text = request_.text;
     if (request_.prepared) {
@@ -231,10 +242,23 @@
     const bool outside_transaction = request_.begin == begin_mode::none && request_.transaction == 0;
     if (outside_transaction && request_.floor)
         text = platform::at_least_text(*request_.floor, text);
-    connection_->send(request_.id, text,
+    return text;
+}
+
+void statement_execution::send()
+{
+    connection_->send(request_.id, statement_text(),
                       [self = shared_from_this()](const auto &answer) { self->handle_answer(answer); });
 }
 
+void statement_execution::reject(const std::string &reason)
+{
+    session::statement_answer answer;
+    answer.error = session::failure{session::answer_code::malformed, reason};
+    answer.end.state = connection_->state();
+    handle_answer(answer);
+}
+
 void statement_execution::handle_answer(const std::optional<session::statement_answer> &answer)
 {
     if (!answer) {
--- a/src/proxy/statement_execution.h
+++ b/src/proxy/statement_execution.h
@@ -73,7 +73,9 @@
     void prepare();
     void log_setup(const session::connection_setup &setup) const;
     void begin();
+    [[nodiscard]] std::string statement_text() const;
     void send();
+    void reject(const std::string &reason);
     void handle_answer(const std::optional<session::statement_answer> &answer);
     void fail_connection(inner::execute_outcome outcome, std::string reason);
     void finish(const inner::execute_answer &answer);
@@ -86,6 +88,7 @@
     std::uint64_t key_ = 0; ///< at the scheduler; 0: not scheduled
     std::shared_ptr<instance_pool> pool_;
     instance_pool::connection connection_;
+    bool too_long_ = false; ///< with the connection's name of its shape, or with its floor
 };
 
 /// Runs the statements to which the scheduler gives a slot.
