A shape that an instance refuses is reported to its caller at once

Callers saw: an EXECUTE of a shape that instances refuse failed as BUSY after eight attempts; each closed a connection, and opening one takes 12 ms and a slot. Cause: any error while a connection is prepared counted as a fault of the connection, and the statement as one to repeat. Change: MALFORMED as the answer to a PREPARE is the answer to the statement; the connection stays.

--- a/src/proxy/statement_execution.cpp
+++ b/src/proxy/statement_execution.cpp
@@ -150,6 +150,7 @@
     {
         int outstanding = 1; ///< outstanding answers, and 1 until this function has sent all its statements
         std::string failure; ///< of the first statement that failed; empty: none
+        std::optional<session::statement_answer> refused_shape;
     };
     const auto state = std::make_shared<progress>();
     const auto one_done = [self = shared_from_this(), state](const std::string &failure) {
@@ -157,17 +158,31 @@
             state->failure = failure;
         if (--state->outstanding > 0)
             return;
-        if (state->failure.empty())
-            self->begin();
-        else
+        if (!state->failure.empty()) {
             self->fail_connection(execute_outcome::not_run,
                                   "the connection could not be prepared: " + state->failure);
+        } else if (state->refused_shape) {
+            self->connection_->session_state.forget(*self->request_.prepared);
+            self->handle_answer(state->refused_shape);
+        } else
+            self->begin();
     };
     const auto send = [&it, state, one_done](const char *what, const std::string &text) {
         ++state->outstanding;
         it.send(platform::own_statement_id, text,
                 [one_done, what](const auto &answer) { one_done(preparation_failure(what, answer)); });
     };
+    const auto send_shape = [&it, state, one_done](const std::string &text) {
+        ++state->outstanding;
+        it.send(platform::own_statement_id, text, [state, one_done](const auto &answer) {
+            // Another instance would refuse it, too.
+            if (answer && answer->error && answer->error->code == session::answer_code::malformed) {
+                state->refused_shape = answer;
+                one_done({});
+            } else
+                one_done(preparation_failure("prepared statement", answer));
+        });
+    };
     if (request_.id == platform::own_statement_id) { // needs no session state
         one_done({});
         return;
@@ -184,7 +199,7 @@
         if (too_long_)
             it.session_state.forget(*request_.prepared);
         else
-            send("prepared statement", text);
+            send_shape(text);
     }
     too_long_ = too_long_ || !platform::statement_fits(request_.id, statement_text());
     if (!setup.empty())
--- a/standins/line_instance.cpp
+++ b/standins/line_instance.cpp
@@ -325,7 +325,9 @@
     } else if (word == "PREPARE") {
         const auto name = pop_word(words);
         const auto kind = words.substr(0, words.find(' '));
-        if (name.empty() || (kind != "READ" && kind != "WRITE") || words.size() <= kind.size() + 1)
+        const auto shape = words.substr(std::min(kind.size() + 1, words.size()));
+        if (name.empty() || (kind != "READ" && kind != "WRITE") || shape.empty() ||
+            shape == group_.refused_shape)
             return send_error(from, "MALFORMED");
         from.prepared[name] = words;
     } else if (word == "RESET") {
--- a/tests/proxy/test_session_state.cpp
+++ b/tests/proxy/test_session_state.cpp
@@ -139,3 +139,24 @@
     CHECK(is_success(site.ask(*in_transaction, "ROLLBACK")));
     CHECK(site.ask(*in_transaction, "READ y").starts_with("ROW none|"));
 }
+
+// Guards against lost connections: a shape that every instance refuses was prepared eight times, each on a
+// connection of its own.
+TEST_CASE("a shape that an instance refuses is reported to its caller and costs no connection")
+{
+    proxy_site site;
+    site.group.refused_shape = "odd";
+    const auto caller = site.session("main");
+    REQUIRE(is_success(site.ask(*caller, "READ y")));
+    const auto before = site.group.at("a").connections();
+    CHECK(is_success(site.ask(*caller, "PREPARE s WRITE odd")));
+    CHECK(site.ask(*caller, "EXECUTE s y 1").starts_with("ERROR MALFORMED"));
+    CHECK(site.ask(*caller, "EXECUTE s y 1").starts_with("ERROR MALFORMED"));
+    CHECK(site.group.at("a").connections() == before);
+    CHECK(is_success(site.ask(*caller, "BEGIN")));
+    CHECK(is_success(site.ask(*caller, "WRITE y 1")));
+    CHECK(site.ask(*caller, "EXECUTE s y 2").ends_with("READY E -"));
+    CHECK(is_success(site.ask(*caller, "ROLLBACK")));
+    CHECK(site.ask(*caller, "READ y").starts_with("ROW none|"));
+    CHECK(site.group.at("a").connections() == before);
+}
