Labels of metrics hold any text

What operators saw: after one request whose class held a quote or a line feed, the page /metrics of that entry, and of the pooler it was sent to, could not be read any more: the rest of the class stood there as lines of its own. Callers choose the class, and an unknown one is counted, too.

Cause: values of labels were put between quotes as they were.

Change: support::label escapes what Prometheus's text format needs: backslash, quote and line feed. It is used for all labels whose values come from outside.

--- a/src/entry/entry_task.cpp
+++ b/src/entry/entry_task.cpp
@@ -87,7 +87,7 @@
 
 void entry_task::refuse(int status, std::string reason, std::string detail, http::responder &answer)
 {
-    metrics_.count("baobabport_entry_refused_total", "reason=\"" + reason + '"');
+    metrics_.count("baobabport_entry_refused_total", support::label("reason", reason));
     answer.send(write_caller_refusal({status, std::move(reason), std::move(detail)}));
 }
 
@@ -225,7 +225,7 @@
     auto &state = databases_.at(it->request.database);
     if (!outcome.answered) {
         selector_.record_failure(home.pooler, now);
-        metrics_.count("baobabport_entry_home_failed_total", "pooler=\"" + home.pooler + '"');
+        metrics_.count("baobabport_entry_home_failed_total", support::label("pooler", home.pooler));
         handle_failed_attempt(it, outcome.may_have_arrived ? routing::attempt_end::lost
                                                            : routing::attempt_end::not_reached);
         return;
@@ -280,9 +280,9 @@
     const auto response_time =
         std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now() - it->arrived);
     const auto outcome = std::string(consistency::to_string(answer.outcome));
-    metrics_.record("baobabport_entry_seconds", "class=\"" + it->request.class_name + '"', response_time);
-    metrics_.count("baobabport_entry_requests_total",
-                   "class=\"" + it->request.class_name + "\",verdict=\"" + outcome + '"');
+    const auto class_label = support::label("class", it->request.class_name);
+    metrics_.record("baobabport_entry_seconds", class_label, response_time);
+    metrics_.count("baobabport_entry_requests_total", class_label + ',' + support::label("verdict", outcome));
     it->answer->send(reply);
 }
 
--- a/src/pooler/pooler_task.cpp
+++ b/src/pooler/pooler_task.cpp
@@ -169,9 +169,9 @@
     const auto response_time =
         std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now() - from.arrived);
     const auto outcome = std::string(consistency::to_string(answer.outcome));
-    metrics_.record("baobabport_request_seconds", "class=\"" + from.class_name + "\"", response_time);
-    metrics_.count("baobabport_requests_total",
-                   "class=\"" + from.class_name + "\",verdict=\"" + outcome + '"');
+    const auto class_label = support::label("class", from.class_name);
+    metrics_.record("baobabport_request_seconds", class_label, response_time);
+    metrics_.count("baobabport_requests_total", class_label + ',' + support::label("verdict", outcome));
     reply(from.connection, from.stream, inner::encode(answer));
 }
 
@@ -418,7 +418,7 @@
     for (const auto &[name, state] : databases_) {
         if (!state.home)
             continue;
-        const auto label = "database=\"" + name + '"';
+        const auto label = support::label("database", name);
         const auto &home = state.home->home_logic();
         metrics_.set("baobabport_queue_length", label, static_cast<double>(home.queue().length()));
         metrics_.set("baobabport_held_answers", label, static_cast<double>(home.held()));
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -314,7 +314,7 @@
     metrics_.set("baobabport_holds_failover_duty", "",
                  election_ && election_->acting_generation(now) ? 1 : 0);
     for (const auto &[service, group] : groups_) {
-        const auto labels = "service=\"" + service + '"';
+        const auto labels = support::label("service", service);
         metrics_.set("baobabport_group_term", labels, static_cast<double>(group->state().term()));
         metrics_.set("baobabport_group_has_primary", labels, group->state().primary() ? 1 : 0);
         metrics_.set("baobabport_waiting_confirmations", labels,
--- a/src/support/metrics.cpp
+++ b/src/support/metrics.cpp
@@ -97,6 +97,22 @@
     out += text.str();
 }
 
+std::string label(std::string_view name, std::string_view value)
+{
+    std::string out(name);
+    out += "=\"";
+    for (const char it : value) {
+        if (it == '\n') {
+            out += "\\n";
+            continue;
+        }
+        if (it == '"' || it == '\\')
+            out += '\\';
+        out += it;
+    }
+    return out + '"';
+}
+
 void metrics::count(const std::string &name, const std::string &labels, std::uint64_t n)
 {
     counters_[{name, labels}] += n;
--- a/src/support/metrics.h
+++ b/src/support/metrics.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace baobabport::support {
 
@@ -40,6 +41,11 @@
     std::unique_ptr<impl> impl_;
 };
 
+/**
+ * Returns `name="value"` as Prometheus text; the value may hold any characters.
+ */
+[[nodiscard]] std::string label(std::string_view name, std::string_view value);
+
 /**
  * Named counters, gauges and histograms; labels are given as Prometheus text, for example `class="booking"`.
  */
