Two callers cannot share the id of a request

What callers saw: caller `a` with request id `b/c` and caller `a/b` with request id `c`, or a request `a/b/c` without a caller, had one id. The later of two such writes got the answer of the earlier one, `ran`, and never ran itself; docs/INTERFACE.md says of `caller` that it "makes ids its own".

Cause: the id of a request was the caller's name, a slash and the caller's id, and both may hold slashes.

Change: slashes in a caller's name are escaped, and an id with a slash but without a caller begins with a slash, so the first slash ends the caller's name. While entries of both versions run, a repeat of a request whose id or caller's name holds a slash or a percent sign may run again; those ids cannot be told apart before.

--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -30,6 +30,34 @@
     return out;
 }
 
+/// Returns the name without the separator of a request id's parts.
+std::string escaped(const std::string &name)
+{
+    std::string out;
+    for (const char it : name) {
+        if (it == '/')
+            out += "%2F";
+        else if (it == '%')
+            out += "%25";
+        else
+            out += it;
+    }
+    return out;
+}
+
+/**
+ * Returns a text that differs for every two pairs of caller and request id.
+ *
+ * The caller's name ends at the first slash; it is empty for the id of a request without a caller.
+ */
+std::string identity_of(const std::string &caller, const std::string &request_id)
+{
+    const bool has_separator = request_id.find('/') != std::string::npos;
+    if (caller.empty() && !has_separator)
+        return request_id;
+    return escaped(caller) + '/' + request_id;
+}
+
 struct reason_status
 {
     const char *reason;
@@ -144,8 +172,8 @@
     out.arguments =
         arguments == object->end() ? "{}" : arguments->dump(-1, ' ', false, json::error_handler_t::replace);
     // A caller that gives its name has ids of its own, so that two callers may use the same request id.
-    if (!out.request_id.empty() && !out.caller.empty())
-        out.request_id = out.caller + '/' + out.request_id;
+    if (!out.request_id.empty())
+        out.request_id = identity_of(out.caller, out.request_id);
     return true;
 }
 
