Deeply nested arguments do not end an entry

What callers saw: one request whose arguments held 120,000 nested lists, 240 kB and within the limit of a body, ended the entry (SIGSEGV), and with it all requests there.

Cause: writing the arguments as text recurses into each level.

Evidence: the reader of requests, called with that body in the new test's first form, ended the test program with SIGSEGV. With the change the request is refused as bad_field.

--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::size_t max_name = 200;
+constexpr std::size_t max_argument_levels = 100;
 constexpr std::int64_t max_deadline_ms = 600000;
 const std::string path_prefix = "/v1/databases/";
 
@@ -169,6 +170,9 @@
     if (out.request_id.size() > max_name || out.caller.size() > max_name || out.class_name.size() > max_name)
         return refuse(400, "bad_field", "names have at most " + std::to_string(max_name) + " bytes");
     const auto arguments = object->find("arguments");
+    if (arguments != object->end() && support::is_nested_beyond(*arguments, max_argument_levels))
+        return refuse(400, "bad_field",
+                      "arguments have at most " + std::to_string(max_argument_levels) + " levels");
     out.arguments =
         arguments == object->end() ? "{}" : arguments->dump(-1, ' ', false, json::error_handler_t::replace);
     // A caller that gives its name has ids of its own, so that two callers may use the same request id.
--- a/src/support/json_fields.cpp
+++ b/src/support/json_fields.cpp
@@ -15,14 +15,6 @@
 /// Levels of a value that are quoted: writing it recurses into each one.
 constexpr std::size_t max_quoted_levels = 16;
 
-bool is_nested_beyond(const json &value, std::size_t levels)
-{
-    if (!value.is_structured())
-        return false;
-    return levels == 0 || std::any_of(value.begin(), value.end(),
-                                      [levels](const auto &it) { return is_nested_beyond(it, levels - 1); });
-}
-
 std::string abbreviated(const json &value)
 {
     if (is_nested_beyond(value, max_quoted_levels))
@@ -49,6 +41,14 @@
 
 } // namespace
 
+bool is_nested_beyond(const json &value, std::size_t levels)
+{
+    if (!value.is_structured())
+        return false;
+    return levels == 0 || std::any_of(value.begin(), value.end(),
+                                      [levels](const auto &it) { return is_nested_beyond(it, levels - 1); });
+}
+
 std::string field_error::text() const
 {
     std::string out;
--- a/src/support/json_fields.h
+++ b/src/support/json_fields.h
@@ -32,6 +32,12 @@
     std::int64_t max_value = 0;
 };
 
+/**
+ * Returns true if lists and objects are nested in the value beyond this many levels; copying or writing a
+ * value recurses into each level.
+ */
+[[nodiscard]] bool is_nested_beyond(const nlohmann::json &value, std::size_t levels);
+
 /**
  * Returns the object parsed from a JSON text with comments; on an error returns none and sets `last_error`.
  */
--- a/tests/entry/test_caller_request.cpp
+++ b/tests/entry/test_caller_request.cpp
@@ -19,6 +19,13 @@
     return out;
 }
 
+http::server_request request_with_levels(std::size_t levels)
+{
+    const auto inner_levels = levels - 1; // the arguments are an object themselves
+    return request_with(R"({"class":"a","statement":"b","arguments":{"x":)" + std::string(inner_levels, '[') +
+                        std::string(inner_levels, ']') + "}}");
+}
+
 std::string request_id_of(const std::string &caller, const std::string &id)
 {
     nlohmann::json body{{"class", "a"}, {"statement", "b"}, {"request_id", id}};
@@ -48,3 +55,17 @@
     CHECK(request_id_of("office", "r-1") == "office/r-1");
     CHECK(request_id_of("office", "r/1") == "office/r/1");
 }
+
+// Guards against an entry that a single request with deeply nested arguments ended.
+TEST_CASE("arguments that are nested too deeply are refused")
+{
+    constexpr std::size_t max_levels = 100;
+    constexpr std::size_t levels_of_longest_body = 120000;
+    entry::caller_request_reader reader;
+    CHECK(reader.read(request_with_levels(max_levels)));
+    for (const auto levels : {max_levels + 1, levels_of_longest_body}) {
+        CHECK_FALSE(reader.read(request_with_levels(levels)));
+        CHECK(reader.last_refusal().status == 400);
+        CHECK(reader.last_refusal().reason == "bad_field");
+    }
+}
