Rows of an instance that are not JSON count as a lost answer

What callers saw: an instance whose rows are not JSON made the entry answer 200 with `"rows":<discarded>`, a body that is not JSON; docs/INTERFACE.md promises JSON bodies.

Cause: the rows travel as text through the pooler, and the entry puts what its parser makes of them into the answer.

Evidence: the new test read rows `[{` and `row` as an answer that ran. With the change they are lost, like all other fields of an instance's answer that cannot be read: a read is tried again, a write is `unknown`.

--- a/src/pooler/upstream_json.cpp
+++ b/src/pooler/upstream_json.cpp
@@ -55,6 +55,8 @@
         const auto body = json::parse(answer.body);
         out.reason = body.at("reason").get<std::string>();
         out.rows = body.at("rows").get<std::string>();
+        if (!out.rows.empty() && !json::accept(out.rows))
+            return out; // the caller's answer contains the rows as JSON
         out.at = {body.at("term").get<std::uint64_t>(), body.at("offset").get<std::uint64_t>()};
         out.repeated = body.at("repeated").get<bool>();
         out.call = body.at("call").get<std::uint64_t>();
