Settings in which two poolers share a VM number are refused

What could be seen: two poolers with the same vm_number propose the same term for a database, so two primaries may hold one term, and an entry sends the transactions of one of them to the other, which answers transaction_unknown. src/failover/term_number.h: "two VMs never propose the same term".

Cause: names of poolers were checked for duplicates, the numbers that terms and ids of transactions are made of were not.

Evidence: the new test's settings were accepted. With the change they are refused, and those with two numbers are still accepted.

--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -89,6 +89,14 @@
     return names.size() == elements.size();
 }
 
+bool has_unique_vm_numbers(const std::vector<pooler_config> &poolers)
+{
+    std::set<std::uint32_t> numbers;
+    for (const auto &it : poolers)
+        numbers.insert(it.vm_number);
+    return numbers.size() == poolers.size();
+}
+
 /// Reads the fields of all programs, since a tool accepts the settings of any program.
 void read_tool_part(json_fields &fields, process_settings &out)
 {
@@ -152,6 +160,9 @@
     fields.finish();
     if (!error && !has_unique_names(out.poolers))
         fields.fail("poolers", "a duplicate name", "a unique name for each pooler");
+    // Terms and ids of transactions contain the number of the VM that made them.
+    if (!error && !has_unique_vm_numbers(out.poolers))
+        fields.fail("poolers", "a duplicate vm_number", "a unique vm_number for each pooler");
     if (!error && !has_unique_names(out.databases))
         fields.fail("databases", "a duplicate name", "a unique name for each database");
     if (!error)
--- a/tests/settings/test_settings_reader.cpp
+++ b/tests/settings/test_settings_reader.cpp
@@ -68,6 +68,21 @@
     CHECK(reader.last_reason() == "/nonexistent: cannot be read");
 }
 
+// Guards against two poolers that propose the same term and name transactions alike.
+TEST_CASE("settings in which two poolers have the same VM number are refused")
+{
+    const std::string first =
+        R"({"name": "p", "vm_number": 1, "data_centre": "erie-shore", "inner": "127.0.0.1:7003"})";
+    const auto second = [](const char *vm_number) {
+        return std::string(R"({"name": "q", "vm_number": )") + vm_number +
+               R"(, "data_centre": "erie-shore", "inner": "127.0.0.1:7005"})";
+    };
+    expect_refused(first, first + ", " + second("1"), "a unique vm_number for each pooler");
+    auto text = valid_settings;
+    text.replace(text.find(first), first.size(), first + ", " + second("2"));
+    CHECK(settings::settings_reader(settings::program_kind::entry).read(text));
+}
+
 TEST_CASE("an invalid request of a caller is refused with a reason before it is forwarded")
 {
     entry::caller_request_reader reader;
