A transaction whose statement did not run at its home is rolled back there

Callers saw ABORTED for a statement that had waited too long for a slot at the home of its transaction, and the transaction stayed open at the instance, with its connection and its uncommitted writes, until the home found it idle after twice tx_idle_ms: the answer carried no transaction number, the entry took that for "none is open" and had nothing to end any more. The home refuses such a statement at the deadline at which the entry gives up too, and in the same process it comes first.

Now the entry ends the transaction that it knew before it forgets the number, unless the statement was answered. The home ignores a number that it does not have.

The test failed before: no rollback was requested.

--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -200,6 +200,8 @@
         return;
     }
     if (transaction_) {
+        if (answer.outcome != inner::execute_outcome::answered)
+            drop_transaction(); // it may still be open at its home
         transaction_->id = answer.transaction;
         if (answer.transaction != 0) {
             transaction_->vm = vm_;
