A transaction that opens after its process has disconnected is rolled back

If the link of a process closed while the first statement of a transaction ran at the home, the transaction opened afterwards belonged to nobody: the rollback for the closed link had already been done, and the answer with the number reached no one. It kept its connection and its writes until the home found it idle. The same holds for a stream that ended by its time-out just before the answer.

stream_connection::reply now tells whether the stream still took the answer; if not, the home ends the transaction that the answer names.

--- a/src/inner/stream_connection.cpp
+++ b/src/inner/stream_connection.cpp
@@ -147,11 +147,11 @@
         flush();
     }
 
-    void reply(stream_id stream, std::string body)
+    bool reply(stream_id stream, std::string body)
     {
         const auto it = streams_.find(stream);
         if (closed_ || it == streams_.end())
-            return;
+            return false;
         it->second.out = std::move(body);
         it->second.out_sent = 0;
         const std::array<nghttp2_nv, 1> headers{header(":status", "200")};
@@ -160,6 +160,7 @@
         provider.read_callback = read_body;
         nghttp2_submit_response(session_, stream, headers.data(), headers.size(), &provider);
         flush();
+        return true;
     }
 
     void discard()
@@ -581,9 +582,9 @@
     impl_->send(kind, std::move(body), timeout, std::move(done));
 }
 
-void stream_connection::reply(stream_id stream, std::string body)
+bool stream_connection::reply(stream_id stream, std::string body)
 {
-    impl_->reply(stream, std::move(body));
+    return impl_->reply(stream, std::move(body));
 }
 void stream_connection::discard()
 {
--- a/src/inner/stream_connection.h
+++ b/src/inner/stream_connection.h
@@ -80,8 +80,8 @@
     /// Sends a message. Its outcome is reported within `timeout`, which begins when the keys are proved.
     void send(message_kind kind, std::string body, std::chrono::milliseconds timeout, outcome_hook done);
 
-    /// Answers a received message. Does nothing if its stream has ended meanwhile.
-    void reply(stream_id stream, std::string body);
+    /// Answers a received message. Does nothing and returns false if its stream has ended meanwhile.
+    bool reply(stream_id stream, std::string body);
 
     /// Closes the connection so that data which the other side has not received yet never arrives.
     void discard();
--- a/src/proxy/peer_task.cpp
+++ b/src/proxy/peer_task.cpp
@@ -47,10 +47,10 @@
     const std::weak_ptr<bool> alive = alive_;
     const auto reply = [this, alive, owner, stream](const std::string &bytes) {
         if (alive.expired())
-            return;
+            return false;
         const auto link = accepted_links_.find(owner);
-        if (link != accepted_links_.end() && link->second.connection)
-            link->second.connection->reply(stream, bytes);
+        return link != accepted_links_.end() && link->second.connection &&
+               link->second.connection->reply(stream, bytes);
     };
     if (kind == message_kind::rollback_transaction) {
         if (const auto rollback = inner::decode_rollback_request(body))
@@ -71,7 +71,11 @@
         return;
     }
     local_executor_.execute(owner, std::move(*request),
-                            [reply](const inner::execute_answer &answer) { reply(inner::encode(answer)); });
+                            [this, alive, reply](const inner::execute_answer &answer) {
+                                // Without the answer, the other process cannot end the transaction.
+                                if (!reply(inner::encode(answer)) && !alive.expired())
+                                    local_executor_.end_transaction(answer.transaction);
+                            });
 }
 
 void peer_task::set_members(std::vector<inner::member> members)
--- a/tests/proxy/test_peer_task.cpp
+++ b/tests/proxy/test_peer_task.cpp
@@ -1,5 +1,6 @@
-// Statement execution at other processes: late delivery after a partition, and the choice of the home.
+// Statement execution at other processes: links that end or recover, and the choice of the home.
 
+#include "line_group.h"
 #include "proxy/peer_task.h"
 #include "support/free_address.h"
 
@@ -116,3 +117,40 @@
     }
     event_base_free(base);
 }
+
+// Guards against transactions that a link's end left open at the home, with their connections.
+TEST_CASE("a transaction that opens after its process has disconnected is rolled back")
+{
+    auto *const base = event_base_new();
+    {
+        standin::line_group group(base, "db", {"a"});
+        group.at("a").primary = true;
+        group.traits.slots = 1;
+        group.traits.statement_time = milliseconds(200);
+        auto pool = std::make_shared<proxy::instance_pool>(
+            base, proxy::upstream_target{group.at("a").address(), "db", "a", "home"}, 4,
+            proxy::instance_pool::health_hooks{[] {}, [] {}, [](const auto &, bool) {}});
+        proxy::local_executor home_executor([&pool](const auto &, const auto &) { return pool; });
+        proxy::local_executor no_executor([](const auto &, const auto &) { return nullptr; });
+        const auto home_address = free_address();
+        const proxy::peer_task home(base, {"home", "erie", home_address, "key"}, home_executor);
+        std::optional<proxy::peer_task> entry(
+            std::in_place, base, proxy::peer_identity{"entry", "erie", free_address(), "key"}, no_executor);
+        entry->set_members({{"home", "erie", home_address.text()}});
+        inner::execute_request request;
+        request.service = "db";
+        request.instance = "a";
+        request.begin = inner::begin_mode::read_write;
+        request.time_left = request.wait_left = milliseconds(5000);
+        request.id = "q1";
+        request.text = "WRITE x 1";
+        entry->execute("home", request, [](const auto &) {});
+        REQUIRE(run_until(base, [&group] { return group.at("a").open_transactions() == 1; }));
+        entry.reset(); // its link closes while the statement runs
+        REQUIRE(run_until(base, [&group] { return !group.ran.empty(); }));
+        CHECK(run_until(base, [&group] { return group.at("a").open_transactions() == 0; }));
+        CHECK(home_executor.open_transactions() == 0);
+    }
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    event_base_free(base);
+}
