The name in CLOSE extends to the end of the text

CLOSE s1 s2 closed s1 and got a success. The protocol has one field there, the name, and "the last field extends to the end of the line", so the caller named "s1 s2", which no PREPARE can have made; its next EXECUTE s1 was refused as UNKNOWN although s1 had been prepared and not closed. It is answered with UNKNOWN now, and s1 stays.

The test failed before: the name was "s1" in both cases.

--- a/src/session/statement.cpp
+++ b/src/session/statement.cpp
@@ -68,6 +68,16 @@
     return out;
 }
 
+std::optional<statement> close_prepared(std::string_view rest)
+{
+    if (rest.empty())
+        return std::nullopt;
+    statement out;
+    out.kind = statement_kind::close_prepared;
+    out.name = rest;
+    return out;
+}
+
 } // namespace
 
 std::optional<statement> parse_statement(std::string_view text)
@@ -91,7 +101,7 @@
     if (word == "PREPARE")
         return parse_prepare(rest);
     if (word == "CLOSE")
-        return with_name(statement_kind::close_prepared, rest, true);
+        return close_prepared(rest);
     return std::nullopt;
 }
 
--- a/tests/session/test_statement.cpp
+++ b/tests/session/test_statement.cpp
@@ -41,6 +41,14 @@
         CHECK_FALSE(parse_statement(text));
 }
 
+// Guards against a close of another statement than the one that the caller named.
+TEST_CASE("the name in CLOSE extends to the end of the text")
+{
+    CHECK(parse_statement("CLOSE s1")->name == "s1");
+    CHECK(parse_statement("CLOSE s1 s2")->name == "s1 s2");
+    CHECK(parse_statement("CLOSE s1 ")->name == "s1 ");
+}
+
 TEST_CASE("sessions store values and prepared statements by name, up to a maximum number")
 {
     session_context session;
