An instance whose id contains a line ending is refused

The id in CONNECT comes from the key of the entry in the store, which another writer may have written. An entry of another writer "names no instance to use", so it is now listed as unusable. Other odd ids stay: the id is the last field of its line, which extends to the end.

The test failed before: the entry was taken for an instance.

--- a/src/platform/line_codec.cpp
+++ b/src/platform/line_codec.cpp
@@ -141,6 +141,11 @@
     return out;
 }
 
+bool fits_in_line(std::string_view text)
+{
+    return text.find(line_ending) == std::string_view::npos;
+}
+
 session::caller_message read_caller_line(std::string_view line)
 {
     auto rest = line;
--- a/src/platform/line_codec.h
+++ b/src/platform/line_codec.h
@@ -49,6 +49,9 @@
     std::size_t scanned_ = 0; ///< no line ending begins between `begin_` and this offset
 };
 
+/// Returns true if the text can be the last field of a line.
+[[nodiscard]] bool fits_in_line(std::string_view text);
+
 [[nodiscard]] session::caller_message read_caller_line(std::string_view line);
 [[nodiscard]] session::instance_message read_instance_line(std::string_view line);
 
--- a/src/platform/record_codec.cpp
+++ b/src/platform/record_codec.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/record_codec.h"
 
+#include "platform/line_codec.h"
+
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -137,6 +139,8 @@
         (void)whole_number(body, "sequence", std::numeric_limits<std::uint64_t>::max());
         if (out.id.empty() || out.service.empty())
             throw std::runtime_error("id or service is empty");
+        if (!fits_in_line(out.id))
+            throw std::runtime_error("id contains a line ending");
         return out;
     } catch (const std::exception &ec) {
         reason = ec.what();
--- a/tests/platform/test_record_codec.cpp
+++ b/tests/platform/test_record_codec.cpp
@@ -191,6 +191,18 @@
         CHECK_FALSE(platform::read_instance_record("servers/i-1", text, reason));
 }
 
+// Guards against UNASKED: the id in CONNECT ended its line, and an instance would have run what followed.
+TEST_CASE("an instance whose id cannot be part of a line is refused")
+{
+    std::string reason;
+    CHECK_FALSE(
+        platform::read_instance_record("servers/i-1\r\nQUERY q1 WRITE x 1", instance().dump(), reason));
+    CHECK_FALSE(reason.empty());
+    const auto odd = platform::read_instance_record("servers/i 1", instance().dump(), reason);
+    REQUIRE(odd);
+    CHECK(odd->id == "i 1"); // the last field of a line extends to its end
+}
+
 TEST_CASE("times and numbers of a desired state that are out of range are refused")
 {
     std::string reason;
