A request that is too long for a message no longer takes its home away from all sessions

Callers saw: after one session's statement whose text, values and shape were over 2 MiB together, the statements of all sessions left the home of its instance (`peer_avoided`), and the statement went round the remaining homes.

Cause: the sender did not check the length. The receiving process refused the stream, and the sender cannot tell that from a process that fails, so it excluded the home for 0.4 s and longer each time.

The length is now checked before a message goes out, and its outcome says so. The statement is answered with MALFORMED at once; nothing was sent, the home stays in use, and the number of an open transaction is kept so that its session can end it. Other users of the links see a message that certainly did not arrive, as before.

Evidence: "a request that is too long for a message is refused, and its home stays in use" failed before, with `peer_avoided` in its log and `not_run` as the outcome.

--- a/src/inner/execute_messages.h
+++ b/src/inner/execute_messages.h
@@ -45,9 +45,9 @@
 /// The outcome of a forwarded statement.
 enum class execute_outcome : std::uint8_t
 {
-    answered,
-    not_run, ///< it was certainly not sent to the instance
-    lost,    ///< sent, and no answer came
+    answered, ///< also if a process refuses it on the instance's behalf
+    not_run,  ///< it was certainly not sent to the instance
+    lost,     ///< sent, and no answer came
 };
 
 struct execute_answer
--- a/src/inner/stream_connection.cpp
+++ b/src/inner/stream_connection.cpp
@@ -134,6 +134,10 @@
         it.kind = kind;
         it.body = std::move(body);
         it.done = std::move(done);
+        if (it.body.size() > max_message) {
+            it.done({false, false, {}, true});
+            return;
+        }
         if (closed_ || peer_stopping_) {
             it.done({false, false, {}});
             return;
--- a/src/inner/stream_connection.h
+++ b/src/inner/stream_connection.h
@@ -33,6 +33,7 @@
     bool answered = false;
     bool may_have_arrived = true; ///< false: the other side certainly did not act on it
     std::string body;             ///< of the answer
+    bool too_long = false;        ///< not sent, since it is longer than `max_message`
 };
 
 /// The shared keys with which processes authenticate. The former key is also accepted during a key rotation.
@@ -77,7 +78,8 @@
     stream_connection(const stream_connection &) = delete;
     stream_connection &operator=(const stream_connection &) = delete;
 
-    /// Sends a message. Its outcome is reported within `timeout`, which begins when the keys are proved.
+    /// Sends a message. Its outcome is reported within `timeout`, which begins when the keys are proved, or
+    /// at once if it is not sent.
     void send(message_kind kind, std::string body, std::chrono::milliseconds timeout, outcome_hook done);
 
     /// Answers a received message. Does nothing if its stream has ended meanwhile.
--- a/src/proxy/peer_task.cpp
+++ b/src/proxy/peer_task.cpp
@@ -136,12 +136,28 @@
     const auto timeout = request.time_left + local_executor::answer_grace_period;
     const std::weak_ptr<bool> alive = alive_;
     links_.send(vm, message_kind::execute_statement, inner::encode(request), timeout,
-                [this, alive, vm, sent_at, done = std::move(done)](const auto &outcome) {
-                    if (!alive.expired())
+                [this, alive, vm, sent_at, transaction = request.transaction,
+                 done = std::move(done)](const auto &outcome) {
+                    if (alive.expired())
+                        return;
+                    if (outcome.too_long)
+                        refuse_too_long(vm, transaction, done);
+                    else
                         handle_outcome(vm, sent_at, outcome, done);
                 });
 }
 
+void peer_task::refuse_too_long(const std::string &vm, std::uint64_t transaction, const answer_hook &done)
+{
+    --health_[vm].outstanding;
+    inner::execute_answer out{execute_outcome::answered, {}, false, {}, transaction};
+    out.answer.error = session::failure{session::answer_code::malformed,
+                                        "the statement and the session's values are too long"};
+    if (transaction != 0)
+        out.answer.end.state = session::transaction_state::open;
+    done(out);
+}
+
 void peer_task::handle_outcome(const std::string &vm, time_point sent_at,
                                const inner::stream_outcome &outcome, const answer_hook &done)
 {
--- a/src/proxy/peer_task.h
+++ b/src/proxy/peer_task.h
@@ -102,6 +102,8 @@
     void accept(int socket);
     void handle_request(std::uint64_t owner, inner::message_kind kind, const std::string &body,
                         inner::stream_connection::stream_id stream);
+    /// Answers a request that was not sent. Its transaction stays open, for the session to end.
+    void refuse_too_long(const std::string &vm, std::uint64_t transaction, const answer_hook &done);
     void handle_outcome(const std::string &vm, time_point sent_at, const inner::stream_outcome &outcome,
                         const answer_hook &done);
     [[nodiscard]] bool excluded(const std::string &vm, time_point now) const;
--- a/tests/inner/test_stream_connection.cpp
+++ b/tests/inner/test_stream_connection.cpp
@@ -150,3 +150,23 @@
     for (std::size_t n = 0; n < bytes.size(); ++n)
         CHECK_FALSE(decode<statement_request>(bytes.substr(0, n)));
 }
+
+// Guards against a message that the other side refuses, which the sender cannot tell from a failure.
+TEST_CASE("a message that is too long is not sent, and the connection stays in use")
+{
+    connection_pair pair(key, key);
+    std::vector<stream_outcome> outcomes;
+    const auto send = [&](std::size_t size) {
+        pair.client->send(message_kind::statement, std::string(size, 'x'), milliseconds(20000),
+                          [&](const auto &it) { outcomes.push_back(it); });
+    };
+    pair.answers = false;
+    send(stream_connection::max_message + 1);
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes[0].too_long);
+    CHECK_FALSE(outcomes[0].answered);
+    CHECK_FALSE(outcomes[0].may_have_arrived);
+    send(stream_connection::max_message);
+    pair.run_until([&] { return !pair.received.empty(); });
+    CHECK(pair.received.front().size() == stream_connection::max_message);
+}
--- a/tests/proxy/test_peer_task.cpp
+++ b/tests/proxy/test_peer_task.cpp
@@ -2,6 +2,7 @@
 
 #include "proxy/peer_task.h"
 #include "support/free_address.h"
+#include "support/stalled_listener.h"
 
 #include <arpa/inet.h>
 #include <array>
@@ -59,6 +60,65 @@
 
 const proxy::time_point now{std::chrono::hours(1)};
 
+/// The processes `self` and `peer`; `peer` has an instance whose answers are written by the test.
+struct two_processes
+{
+    two_processes()
+        : base(event_base_new()),
+          pool(std::make_shared<proxy::instance_pool>(
+              base, proxy::upstream_target{instance.at(), "db", "i-1", "proxy"}, 4,
+              proxy::instance_pool::health_hooks{[] {}, [] {}, [](const auto &, bool) {}}))
+    {
+        pool->set_slots(1);
+        const inner::member self_member{"self", "erie", free_address().text()};
+        const inner::member peer_member{"peer", "erie", free_address().text()};
+        self.emplace(
+            base, proxy::peer_identity{"self", "erie", *support::parse_address(self_member.address), "key"},
+            self_executor);
+        peer.emplace(
+            base, proxy::peer_identity{"peer", "erie", *support::parse_address(peer_member.address), "key"},
+            peer_executor);
+        self->set_members({self_member, peer_member});
+        for (int n = 0; home() != "peer"; ++n)
+            instance_of_peer = "i-" + std::to_string(n);
+    }
+    ~two_processes()
+    {
+        self.reset();
+        peer.reset();
+        pool.reset();
+        event_base_loop(base, EVLOOP_NONBLOCK);
+        event_base_free(base);
+    }
+    two_processes(const two_processes &) = delete;
+    two_processes &operator=(const two_processes &) = delete;
+
+    [[nodiscard]] std::string home() const
+    {
+        return self->home_of(instance_of_peer, "erie", support::boot_clock::now());
+    }
+
+    /// Sends a statement from `self` to `peer`.
+    void execute(inner::execute_request request)
+    {
+        request.service = "db";
+        request.instance = "i-1";
+        request.time_left = milliseconds(20000);
+        request.wait_left = milliseconds(20000);
+        self->execute("peer", std::move(request), [this](const auto &it) { answers.push_back(it); });
+    }
+
+    event_base *base;
+    testing::stalled_listener instance;
+    std::shared_ptr<proxy::instance_pool> pool;
+    proxy::local_executor self_executor{[](const auto &, const auto &) { return nullptr; }};
+    proxy::local_executor peer_executor{[this](const auto &, const auto &) { return pool; }};
+    std::optional<proxy::peer_task> self;
+    std::optional<proxy::peer_task> peer;
+    std::string instance_of_peer; ///< its home is `peer`
+    std::vector<inner::execute_answer> answers;
+};
+
 } // namespace
 
 TEST_CASE("a statement that timed out is not delivered when its link recovers")
@@ -116,3 +176,23 @@
     }
     event_base_free(base);
 }
+
+// Guards against a process that all sessions stop using, since one session's statement was too long for it.
+TEST_CASE("a request that is too long for a message is refused, and its home stays in use")
+{
+    two_processes site;
+    inner::execute_request request;
+    request.id = "1";
+    request.text = "WRITE x " + std::string(inner::stream_connection::max_message, 'x');
+    request.transaction = 7;
+    site.execute(request);
+    CHECK(run_until(site.base, [&] { return !site.answers.empty(); }));
+    REQUIRE(site.answers.size() == 1);
+    const auto &answer = site.answers.front();
+    CHECK(answer.outcome == inner::execute_outcome::answered);
+    REQUIRE(answer.answer.error);
+    CHECK(answer.answer.error->code == session::answer_code::malformed);
+    CHECK(answer.answer.error->text.find("too long") != std::string::npos);
+    CHECK(answer.transaction == 7); // still open, and rolled back by its session
+    CHECK(site.home() == "peer");
+}
