The values and shapes of a session have a maximum size

Callers saw: a session could keep 256 values and 256 shapes of up to 1 MiB each, and names as long. Each request to another process holds all values; those over 2 MiB were too long to send, and the process kept them all on a VM of 112 MB.

They may now have 256 KiB in all, names included. What is more is refused at once with MALFORMED, which names what is too long; what the session had stays. With this bound every request that a session can make fits a message between processes.

Evidence: "values and shapes that a session may not keep are refused, and the others stay" failed before: the second value and the shape were acknowledged, and the second value was set at the instance.

--- a/src/proxy/caller_task.cpp
+++ b/src/proxy/caller_task.cpp
@@ -202,11 +202,11 @@
         return;
     case statement_kind::set_value:
         if (!session_->set_value(what.name, what.argument))
-            return reply_failure(answer_code::malformed, "the session has too many values");
+            return reply_failure(answer_code::malformed, session_->last_reason());
         break;
     case statement_kind::prepare:
         if (!session_->prepare(what.name, {what.prepares_write, what.argument}))
-            return reply_failure(answer_code::malformed, "the session has too many prepared statements");
+            return reply_failure(answer_code::malformed, session_->last_reason());
         break;
     case statement_kind::close_prepared:
         if (!session_->close_prepared(what.name))
--- a/src/session/session_context.h
+++ b/src/session/session_context.h
@@ -34,13 +34,21 @@
 public:
     /// Maximum number of values, and of prepared statements, of one session; bounds its memory.
     static constexpr std::size_t max_entries = 256;
+    /// Maximum size of all values, shapes and their names together, in bytes. A request to another process
+    /// contains the values, one shape twice, and a statement of the maximum length.
+    static constexpr std::size_t max_size = std::size_t{256} * 1024;
 
-    /// Sets a value; returns false if the session has too many.
+    /// Sets a value; returns false if the session has too many or they would be too long. The former value
+    /// then stays.
     bool set_value(const std::string &name, const std::string &value);
 
-    /// Stores a prepared statement; returns false if the session has too many.
+    /// Stores a prepared statement; returns false if the session has too many or they would be too long. The
+    /// former one of that name then stays.
     bool prepare(const std::string &name, prepared_statement prepared);
 
+    /// Returns why the last value or prepared statement was refused.
+    [[nodiscard]] const std::string &last_reason() const { return last_reason_; }
+
     /// Erases a prepared statement; returns false if there is none of that name.
     bool close_prepared(const std::string &name);
 
@@ -64,8 +72,13 @@
     }
 
 private:
+    /// Replaces `freed` by `added` bytes; returns false, and changes nothing, if they would be too many.
+    bool reserve(std::size_t freed, std::size_t added, const char *what);
+
     session_values values_;
     std::map<std::string, prepared_statement> prepared_;
+    std::size_t size_ = 0; ///< of names, values and shapes; at most `max_size`
+    std::string last_reason_;
     std::optional<consistency::position> last_commit_position_;
 };
 
--- a/tests/proxy/test_caller_task.cpp
+++ b/tests/proxy/test_caller_task.cpp
@@ -77,3 +77,22 @@
     CHECK(std::none_of(site.group.ran.begin(), site.group.ran.end(),
                        [](const auto &it) { return it.id == "7"; }));
 }
+
+// Guards against a session whose values and shapes use up the memory of the process, or are too long for a
+// message to another process.
+TEST_CASE("values and shapes that a session may not keep are refused, and the others stay")
+{
+    proxy_site site;
+    const auto caller = site.session("main");
+    const std::string large(std::size_t{200} * 1024, 'x');
+    CHECK(site.ask(*caller, "SET a " + large).starts_with("COMPLETE"));
+    for (const auto *const text : {"SET b ", "PREPARE s READ "}) {
+        const auto refusal = site.ask(*caller, text + large);
+        CHECK(refusal.starts_with("ERROR MALFORMED"));
+        CHECK(refusal.find("too long") != std::string::npos);
+        CHECK(refusal.ends_with("READY I -"));
+    }
+    CHECK(site.ask(*caller, "READ x").starts_with("ROW none|COMPLETE mac"));
+    REQUIRE_FALSE(site.group.ran.empty());
+    CHECK(site.group.ran.back().values == std::map<std::string, std::string>{{"a", large}});
+}
--- a/tests/proxy/test_peer_task.cpp
+++ b/tests/proxy/test_peer_task.cpp
@@ -196,3 +196,24 @@
     CHECK(answer.transaction == 7); // still open, and rolled back by its session
     CHECK(site.home() == "peer");
 }
+
+TEST_CASE("the longest request that a session can make fits a message")
+{
+    session::session_context session;
+    constexpr std::size_t half = session::session_context::max_size / 2;
+    constexpr std::size_t names = session::session_context::max_entries;
+    constexpr std::size_t name_size = half / names;
+    for (std::size_t n = 0; n < names; ++n) {
+        const auto name = std::to_string(n);
+        REQUIRE(session.set_value(name + std::string(name_size - name.size(), 'x'), {}));
+    }
+    REQUIRE(session.prepare("s", {true, std::string(half - 1, 'x')}));
+    inner::execute_request request;
+    request.values = session.values();
+    request.prepared = *session.find_prepared("s");
+    request.text = request.prepared->shape + std::string(platform::max_message, 'x'); // name, argument and id
+    request.service = request.instance = request.label = std::string(1000, 'x');
+    request.floor = consistency::position{~std::uint64_t{0}, ~std::uint64_t{0}};
+    request.transaction = ~std::uint64_t{0};
+    CHECK(inner::encode(request).size() <= inner::stream_connection::max_message);
+}
--- a/tests/session/test_statement.cpp
+++ b/tests/session/test_statement.cpp
@@ -58,6 +58,31 @@
     CHECK(session.set_value("a", "3"));
 }
 
+// Guards against a session that uses up the memory of the process.
+TEST_CASE("the values, shapes and names of a session have a maximum size in all")
+{
+    session_context session;
+    constexpr std::size_t half = session_context::max_size / 2;
+    CHECK(session.set_value("a", std::string(half - 1, 'x')));
+    CHECK(session.prepare("s", {false, std::string(half - 1, 'x')}));
+    CHECK_FALSE(session.set_value("", "1"));
+    CHECK(session.last_reason().starts_with("the value is too long"));
+    CHECK_FALSE(session.prepare("t", {false, ""}));
+    CHECK(session.last_reason().starts_with("the shape is too long"));
+
+    // What is replaced counts no more, and what is refused leaves the former one in place.
+    CHECK_FALSE(session.set_value("a", std::string(half, 'y')));
+    CHECK(session.values().at("a") == std::string(half - 1, 'x'));
+    CHECK(session.set_value("a", std::string(half - 1, 'y')));
+    CHECK_FALSE(session.prepare("s", {true, std::string(half, 'y')}));
+    CHECK_FALSE(session.find_prepared("s")->writes);
+    CHECK(session.prepare("s", {true, std::string(half - 1, 'y')}));
+
+    CHECK(session.close_prepared("s"));
+    CHECK(session.prepare("t", {false, std::string(half - 1, 'x')}));
+    CHECK_FALSE(session.set_value("", "1"));
+}
+
 TEST_CASE("a session's last commit position never decreases")
 {
     session_context session;
