An answer that is too long fails its own statement only

Callers saw: an instance may answer with any number of rows. An answer over 2 MiB that a home sent back was refused by the process that had asked, which then excluded the home for all sessions (`peer_avoided`), took the statement as lost, excluded the instance from reads, and repeated a read at the next home. An answer at the home itself was kept without a bound.

An answer may now have 1.75 MiB, with 32 bytes added for each row, so that it fits a message between processes and a row of 1 MiB still fits it. What is longer is read to its end and dropped; the connection stays in use. The statement has run, so a read is answered with FAILED, a write or commit with INDOUBT, and a statement within a transaction with ABORTED, since that transaction can only be rolled back. It is not repeated and excludes nothing. The answer between processes has one more field; an earlier process ignores it and sees FAILED.

Evidence: "an answer that is too long for a message is reported, and its home stays in use" failed before, with `peer_avoided` in its log and `lost` as the outcome. "a statement whose answer is too long fails once and costs no other session an instance" fails without the case in `statement_run`: the read ran 8 times at three instances and was answered with BUSY.

--- a/src/inner/execute_messages.cpp
+++ b/src/inner/execute_messages.cpp
@@ -1,5 +1,6 @@
 #include "inner/execute_messages.h"
 
+#include "inner/stream_connection.h"
 #include "support/cbor.h"
 
 #include <nlohmann/json.hpp>
@@ -13,6 +14,13 @@
 
 // Messages are encoded as CBOR arrays, since field names would make up most of their bytes.
 
+/// Space for the other fields of an answer, the longest of which are names.
+constexpr std::size_t field_space = std::size_t{64} * 1024;
+static_assert(session::statement_answer::max_size + field_space <= stream_connection::max_message);
+
+/// Processes of earlier versions do not send this field of an answer, and ignore it.
+constexpr std::size_t cut_field = 9;
+
 json position_fields(const std::optional<consistency::position> &at)
 {
     return at ? json{at->term, at->offset} : json(nullptr);
@@ -68,11 +76,11 @@
 
 std::string encode(const execute_answer &message)
 {
-    return support::to_cbor(
-        json::array({static_cast<std::uint8_t>(message.outcome), message.reason, message.answer.rows,
-                     message.answer.receipt, error_fields(message.answer.error),
-                     static_cast<std::uint8_t>(message.answer.end.state),
-                     position_fields(message.answer.end.log), message.transaction, message.overloaded}));
+    return support::to_cbor(json::array(
+        {static_cast<std::uint8_t>(message.outcome), message.reason, message.answer.rows,
+         message.answer.receipt, error_fields(message.answer.error),
+         static_cast<std::uint8_t>(message.answer.end.state), position_fields(message.answer.end.log),
+         message.transaction, message.overloaded, message.answer.cut}));
 }
 
 std::string encode(const rollback_request &message)
@@ -113,6 +121,7 @@
         out.answer.end.log = read_position(fields.at(6));
         out.transaction = fields.at(7).get<std::uint64_t>();
         out.overloaded = fields.at(8).get<bool>();
+        out.answer.cut = out.answer.error && fields.size() > cut_field && fields.at(cut_field).get<bool>();
     });
 }
 
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -209,6 +209,8 @@
     }
     if (answer.outcome != inner::execute_outcome::answered)
         handle_loss(answer);
+    else if (answer.answer.cut)
+        handle_cut(*answer.answer.error);
     else if (answer.answer.error)
         handle_error(*answer.answer.error);
     else
@@ -277,6 +279,15 @@
     fail(error.code == answer_code::malformed ? error.code : answer_code::aborted, error.text);
 }
 
+void statement_run::handle_cut(const session::failure &error)
+{
+    log_failed_attempt("error", error.text);
+    // The statement has run, and every instance's answer would be too long.
+    if (changes_data())
+        return fail(answer_code::in_doubt, error.text);
+    fail(transaction_ && !is_commit() ? answer_code::aborted : error.code, error.text);
+}
+
 void statement_run::handle_success(const session::statement_answer &answer)
 {
     result_.rows = answer.rows;
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -124,6 +124,7 @@
     void handle_late_answer(const inner::execute_answer &answer);
     void handle_loss(const inner::execute_answer &answer);
     void handle_error(const session::failure &error);
+    void handle_cut(const session::failure &error);
     void handle_success(const session::statement_answer &answer);
     void confirm(time_point since);
     [[nodiscard]] time_point slot_wait_until(time_point now) const;
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -114,7 +114,7 @@
     }
     auto &first = waiting_.front().answer;
     if (const auto *const data = std::get_if<session::row>(&message))
-        first.rows.push_back(data->data);
+        first.add_row(data->data);
     else if (const auto *const done = std::get_if<session::success>(&message))
         first.receipt = done->receipt;
     else if (const auto *const error = std::get_if<session::failure>(&message))
@@ -127,13 +127,13 @@
 {
     auto first = std::move(waiting_.front());
     waiting_.pop_front();
-    first.answer.end = end_of_answer;
     state_ = end_of_answer.state;
     if (!first.answer.error && first.answer.receipt.empty()) {
         waiting_.push_front(std::move(first));
         end(std::nullopt);
         return;
     }
+    first.answer.finish(end_of_answer);
     if (hooks_.answered)
         hooks_.answered();
     first.done(first.answer);
--- /dev/null
+++ b/src/session/messages.cpp
@@ -0,0 +1,33 @@
+// Collection of an instance's answer, whose number of rows the protocol does not limit.
+
+#include "session/messages.h"
+
+#include <utility>
+
+namespace baobabport::session {
+
+void statement_answer::add_row(std::string data)
+{
+    size += data.size() + row_overhead;
+    if (size > max_size)
+        rows = {}; // releases the memory
+    else
+        rows.push_back(std::move(data));
+}
+
+void statement_answer::finish(const prompt &at)
+{
+    end = at;
+    if (error) {
+        rows = {};
+        return;
+    }
+    if (size + receipt.size() <= max_size)
+        return;
+    cut = true;
+    rows = {};
+    receipt = {};
+    error = failure{answer_code::failed, "the answer is too long"};
+}
+
+} // namespace baobabport::session
--- a/src/session/messages.h
+++ b/src/session/messages.h
@@ -77,10 +77,23 @@
 /// An instance's complete answer to one statement.
 struct statement_answer
 {
+    /// Maximum size of rows and receipt in bytes, with `row_overhead` for each row; a row of the longest
+    /// message fits.
+    static constexpr std::size_t max_size = std::size_t{1792} * 1024;
+    static constexpr std::size_t row_overhead = sizeof(std::string);
+
     std::vector<std::string> rows;
     std::string receipt;
     std::optional<failure> error; ///< none: success
     prompt end;
+    bool cut = false;     ///< too long: the rows are dropped, and `error` says so
+    std::size_t size = 0; ///< of all rows that were added
+
+    /// Adds a row, or drops all rows if there are too many.
+    void add_row(std::string data);
+
+    /// Ends the answer. Rows are dropped if an error follows them.
+    void finish(const prompt &at);
 };
 
 } // namespace baobabport::session
--- a/standins/line_instance.cpp
+++ b/standins/line_instance.cpp
@@ -303,8 +303,8 @@
         --lose_answers;
         return;
     }
-    answer(from, rows + "COMPLETE mac" + std::to_string(++last_receipt_) + "\r\nREADY " + from.state + ' ' +
-                     text_of(applied()) + "\r\n");
+    answer(from, more_rows + rows + "COMPLETE mac" + std::to_string(++last_receipt_) + "\r\nREADY " +
+                     from.state + ' ' + text_of(applied()) + "\r\n");
 }
 
 void line_instance::command(connection &from, const std::string &word, const std::string &rest)
--- a/standins/line_instance.h
+++ b/standins/line_instance.h
@@ -72,6 +72,7 @@
     bool unresponsive = false;      ///< reads requests without answering them
     int lose_answers = 0;           ///< number of next statements that run without an answer
     std::string fail_next_with;     ///< error code for the next statement of a client
+    std::string more_rows;          ///< lines before the answers to statements of clients
     std::uint64_t term = 1;
     std::uint64_t paused_at = 0;
     std::vector<log_entry> log;
--- a/tests/inner/test_proxy_messages.cpp
+++ b/tests/inner/test_proxy_messages.cpp
@@ -103,6 +103,9 @@
     CHECK(*decoded_answer->answer.end.log == consistency::position{3, 4});
     CHECK(decoded_answer->transaction == 6);
     CHECK(decoded_answer->overloaded);
+    CHECK_FALSE(decoded_answer->answer.cut);
+    answer.answer.cut = true;
+    CHECK(decode_execute_answer(encode(answer))->answer.cut);
     CHECK(decode_rollback_request(encode(rollback_request{7}))->transaction == 7);
 }
 
--- a/tests/proxy/test_peer_task.cpp
+++ b/tests/proxy/test_peer_task.cpp
@@ -197,6 +197,38 @@
     CHECK(site.home() == "peer");
 }
 
+// Guards against a process that all sessions stop using, since an instance's answer was too long to return.
+TEST_CASE("an answer that is too long for a message is reported, and its home stays in use")
+{
+    two_processes site;
+    inner::execute_request request;
+    request.id = "1";
+    request.text = "READ x";
+    site.execute(request);
+    REQUIRE(run_until(site.base, [&] { return site.instance.accepted(); }));
+    site.instance.write("READY I 1.1\r\n");
+    REQUIRE(run_until(site.base, [&] {
+        site.instance.read();
+        return site.instance.text().find("READ x") != std::string::npos;
+    }));
+    constexpr std::size_t row_size = 8192;
+    for (std::size_t n = 0; n * row_size < 2 * inner::stream_connection::max_message; ++n) {
+        site.instance.write("ROW " + std::string(row_size, 'x') + "\r\n");
+        event_base_loop(site.base, EVLOOP_NONBLOCK);
+    }
+    site.instance.write("COMPLETE mac\r\nREADY I 1.1\r\n");
+    CHECK(run_until(site.base, [&] { return !site.answers.empty(); }));
+    REQUIRE(site.answers.size() == 1);
+    const auto &answer = site.answers.front();
+    CHECK(answer.outcome == inner::execute_outcome::answered);
+    REQUIRE(answer.answer.error);
+    CHECK(answer.answer.error->code == session::answer_code::failed);
+    CHECK(answer.answer.cut);
+    CHECK(answer.answer.rows.empty());
+    CHECK(site.home() == "peer");
+    CHECK(site.pool->idle_count() == 1); // the connection stays in use, too
+}
+
 TEST_CASE("the longest request that a session can make fits a message")
 {
     session::session_context session;
--- a/tests/proxy/test_proxy.cpp
+++ b/tests/proxy/test_proxy.cpp
@@ -189,6 +189,35 @@
     CHECK(is_success(site.ask(*other, "READ x")));
 }
 
+// Guards against a read that is repeated at every instance, each of which is excluded for all sessions, and
+// against memory that one answer uses up.
+TEST_CASE("a statement whose answer is too long fails once and costs no other session an instance")
+{
+    proxy_site site;
+    const auto caller = site.session("old");
+    const auto other = site.session("main");
+    CHECK(is_success(site.ask(*caller, "READ x")));
+    std::string rows;
+    while (rows.size() < 2 * baobabport::session::statement_answer::max_size)
+        rows += "ROW " + std::string(8192, 'x') + "\r\n";
+    for (const auto *const id : {"a", "b", "c"})
+        site.group.at(id).more_rows = rows;
+    site.group.ran.clear();
+    CHECK(site.ask(*caller, "READ x") == "ERROR FAILED the answer is too long|READY I -");
+    CHECK(site.group.ran.size() == 1);
+    CHECK(site.ask(*caller, "WRITE x 1") == "ERROR INDOUBT the answer is too long|READY I -");
+
+    CHECK(site.ask(*caller, "BEGIN").starts_with("COMPLETE"));
+    CHECK(site.ask(*caller, "WRITE x 2") == "ERROR ABORTED the answer is too long|READY E -");
+    CHECK(site.ask(*caller, "ROLLBACK").starts_with("COMPLETE"));
+    CHECK(site.run_until([&] { return site.group.at("a").open_transactions() == 0; }));
+
+    site.group.ran.clear();
+    site.group.at("a").more_rows.clear();
+    CHECK(site.ask(*other, "READ x").starts_with("ROW 1|COMPLETE"));
+    CHECK(site.group.ran.size() == 1);
+}
+
 TEST_CASE("a write whose answer is lost is reported as in doubt and is never sent again")
 {
     proxy_site site;
