An idle session does not keep the memory of its longest line

Operators saw, on a VM of 112 MB: each session kept the memory of the longest message that it had sent, up to 1 MiB, for as long as it was open, and many sessions are long and mostly idle. So did each connection to an instance.

Cause: the reader's buffer was emptied but kept its capacity. A reader that waits for bytes now releases capacity above twice the bytes that it has and 4 KiB; a line that grows in parts stays below that, so that it is copied no more often.

--- a/src/platform/line_codec.cpp
+++ b/src/platform/line_codec.cpp
@@ -17,6 +17,9 @@
 
 constexpr std::string_view no_position = "-";
 constexpr std::string_view line_ending = "\r\n";
+/// A reader that waits for bytes keeps at most this capacity beyond twice the bytes that it has; usual lines
+/// fit it.
+constexpr std::size_t spare_capacity = 4096;
 
 struct code_name
 {
@@ -133,6 +136,8 @@
         buf_.erase(0, begin_);
         begin_ = 0;
         scanned_ = line.length;
+        if (buf_.capacity() > 2 * buf_.size() + spare_capacity)
+            buf_.shrink_to_fit();
         return std::nullopt;
     }
     std::string out = buf_.substr(begin_, line.length);
--- a/tests/platform/test_line_codec.cpp
+++ b/tests/platform/test_line_codec.cpp
@@ -3,6 +3,7 @@
 #include "platform/line_codec.h"
 
 #include <catch2/catch.hpp>
+#include <malloc.h>
 
 using namespace baobabport;
 using namespace baobabport::platform;
@@ -23,6 +24,12 @@
     return out;
 }
 
+std::size_t allocated_bytes()
+{
+    const auto it = mallinfo2();
+    return it.uordblks + it.hblkhd;
+}
+
 } // namespace
 
 TEST_CASE("lines are complete for any fragmentation of their bytes")
@@ -79,6 +86,27 @@
     }
 }
 
+// Guards against sessions that are idle, each of which keeps the memory of the longest line that it has
+// received.
+TEST_CASE("a reader that waits for the next line does not keep the memory of a long one")
+{
+    std::vector<line_reader> readers(16);
+    const auto bytes = std::string(max_message, 'x') + "\r\n";
+    const auto before = allocated_bytes();
+    for (const auto *const rest : {"", "QUERY 1 RE"}) {
+        for (auto &it : readers) {
+            it.append(bytes + rest);
+            REQUIRE(it.next());
+            REQUIRE_FALSE(it.next());
+        }
+        CHECK(allocated_bytes() < before + max_message);
+        for (auto &it : readers)
+            it.append("\r\n");
+        for (auto &it : readers)
+            REQUIRE(it.next().has_value());
+    }
+}
+
 TEST_CASE("messages of callers are parsed")
 {
     const auto open = std::get<session::open_session>(read_caller_line("CONNECT lepu270 u3f1"));
