Every shape and value that fits a message may be kept and forwarded

The limits that had just come, 256 KiB of values and shapes a session, 2 MiB a message between processes and 1.75 MiB an answer, refused a shape or value of half a message, which the protocol allows. A session may now keep 1 MiB, so that one PREPARE or SET of the longest message is accepted; messages between processes have 4 MiB, for the values, one shape twice and a statement of 1 MiB, and answers 3.5 MiB.

--- a/src/inner/stream_connection.h
+++ b/src/inner/stream_connection.h
@@ -99,7 +99,7 @@
     /// Returns the number of messages that were sent or queued and are not answered yet; 0 at a server's end.
     [[nodiscard]] std::size_t outstanding() const;
 
-    static constexpr std::size_t max_message = 2U << 20U; ///< bytes
+    static constexpr std::size_t max_message = 4U << 20U; ///< bytes
 
 private:
     class impl;
--- a/src/session/messages.h
+++ b/src/session/messages.h
@@ -79,7 +79,7 @@
 {
     /// Maximum size of rows and receipt in bytes, with `row_overhead` for each row; a row of the longest
     /// message fits.
-    static constexpr std::size_t max_size = std::size_t{1792} * 1024;
+    static constexpr std::size_t max_size = std::size_t{3584} * 1024;
     static constexpr std::size_t row_overhead = sizeof(std::string);
 
     std::vector<std::string> rows;
--- a/src/session/session_context.h
+++ b/src/session/session_context.h
@@ -38,7 +38,7 @@
     static constexpr std::size_t max_entries = 256;
     /// Maximum size of all values, shapes and their names together, in bytes. A request to another process
     /// contains the values, one shape twice, and a statement of the maximum length.
-    static constexpr std::size_t max_size = std::size_t{256} * 1024;
+    static constexpr std::size_t max_size = std::size_t{1024} * 1024;
 
     /// Sets a value; returns false if the session has too many or they would be too long. The former value
     /// then stays.
