A test: the longest statement with the most session state is served from every process

It guards against a bound on messages between processes, or on a session's values and shapes, that would turn legal statements away at some processes only.

--- a/tests/proxy/test_proxy.cpp
+++ b/tests/proxy/test_proxy.cpp
@@ -218,6 +218,30 @@
     CHECK(site.group.ran.size() == 1);
 }
 
+// Guards against a bound on messages between processes that a legal statement exceeds.
+TEST_CASE("the longest statement with the most session state is served from every process")
+{
+    proxy_site site;
+    const auto settings = site.settings_of("front-2");
+    baobabport::proxy::proxy_task other(site.base, settings, [] {});
+    site.run_for(std::chrono::milliseconds(1500)); // each process has the other in its membership
+    const auto caller = site.session("main");
+    test_caller remote(site.base, settings.callers); // one of the two has its home at the other process
+    remote.send("CONNECT main tester\r\n");
+    CHECK(site.run_until([&] { return !remote.lines.empty(); }));
+    using baobabport::session::session_context;
+    constexpr std::size_t half = session_context::max_size / 2;
+    const std::string message = "QUERY idN WRITE x ";
+    const std::string data(baobabport::platform::max_message - message.size() - 8, 'x');
+    for (auto *const it : {caller.get(), &remote}) {
+        CHECK(is_success(site.ask(*it, "SET v " + std::string(half - 1, 'v'))));
+        CHECK(is_success(site.ask(*it, "PREPARE s READ " + std::string(half - 1, 's'))));
+        CHECK(is_success(site.ask(*it, "WRITE x " + data)));
+        CHECK(site.ask(*it, "READ x").starts_with("ROW " + data + "|COMPLETE"));
+        CHECK(site.ask(*it, "EXECUTE s x").starts_with("ROW " + data + "|COMPLETE"));
+    }
+}
+
 TEST_CASE("a write whose answer is lost is reported as in doubt and is never sent again")
 {
     proxy_site site;
