The text of an instance's error is cut to 1 KiB

Callers saw, by reading: an error's text of nearly 1 MiB is passed on with a longer code (ABORTED for MOVED) or with the proxy's words before it, so that the line to the caller may be longer than a message.

--- a/src/session/messages.cpp
+++ b/src/session/messages.cpp
@@ -2,6 +2,7 @@
 
 #include "session/messages.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace baobabport::session {
@@ -20,6 +21,7 @@
     end = at;
     if (error) {
         rows = {};
+        error->text.resize(std::min(error->text.size(), max_error_text));
         return;
     }
     if (size + receipt.size() <= max_size)
--- a/src/session/messages.h
+++ b/src/session/messages.h
@@ -81,6 +81,8 @@
     /// message fits.
     static constexpr std::size_t max_size = std::size_t{1792} * 1024;
     static constexpr std::size_t row_overhead = sizeof(std::string);
+    /// Maximum size of an error's text in bytes; the rest is cut off.
+    static constexpr std::size_t max_error_text = 1024;
 
     std::vector<std::string> rows;
     std::string receipt;
@@ -92,7 +94,7 @@
     /// Adds a row, or drops all rows if there are too many.
     void add_row(std::string data);
 
-    /// Ends the answer. Rows are dropped if an error follows them.
+    /// Ends the answer. If it is an error, its rows and the end of a long text are dropped.
     void finish(const prompt &at);
 };
 
