Names in the paths of callers are decoded

What callers saw: a database whose name holds a blank, a slash or other than ASCII letters could not be reached, since HTTP has no way to write such a name in a path but percent-encoded: 404 unknown_database. Settings accept these names.

Cause: the parts of a path were used as they were written.

Evidence: the new test of an entry got 404 for `/v1/databases/lake%20shore%2F%C3%BC/statements` and for a transaction there. With the change it gets 503 and 409, like any database whose poolers do not answer.

A percent sign that begins no code stays as it is.

--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
+#include <event2/http.h>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <vector>
@@ -21,13 +23,22 @@
 constexpr std::int64_t max_deadline_ms = 600000;
 const std::string path_prefix = "/v1/databases/";
 
+std::string decoded(const std::string &part)
+{
+    std::size_t length = 0;
+    char *const raw = evhttp_uridecode(part.c_str(), 0, &length);
+    std::string out(raw, length);
+    std::free(raw); // NOLINT(cppcoreguidelines-no-malloc): libevent allocates with malloc
+    return out;
+}
+
 std::vector<std::string> parts_of(const std::string &path)
 {
     std::vector<std::string> out;
     std::istringstream in(path);
     std::string part;
     while (std::getline(in, part, '/'))
-        out.push_back(part);
+        out.push_back(decoded(part));
     return out;
 }
 
--- a/tests/entry/test_entry_task.cpp
+++ b/tests/entry/test_entry_task.cpp
@@ -78,3 +78,22 @@
     }
     CHECK(requests == 1);
 }
+
+// Guards against a database that no caller could reach, since its name has to be encoded in a path.
+TEST_CASE("the names in a path are decoded")
+{
+    const base_ptr base(event_base_new(), event_base_free);
+    auto settings = settings_without_poolers();
+    settings.databases.push_back({"lake shore/\xc3\xbc", 2, 16, {}});
+    entry::entry_task entry(base.get(), settings, [] {});
+    const auto status_of = [&](const std::string &path) {
+        const auto *const body = R"({"class":"c","statement":"s"})";
+        return answer_to(base.get(), *settings.callers, {http::method_kind::post, path, body, {}, {}}).status;
+    };
+    CHECK(status_of("/v1/databases/db/statements") == 503);
+    CHECK(status_of("/v1/databases/lake%20shore%2F%C3%BC/statements") == 503);
+    CHECK(status_of(
+              "/v1/databases/lake%20shore%2F%C3%BC/transactions/lake%20shore%2F%C3%BC.1.2.3/statements") ==
+          409);
+    CHECK(status_of("/v1/databases/lake%20shore/statements") == 404);
+}
