The load tool encodes names of databases in paths

What users of the tool saw: with a database whose name holds a blank, every request was malformed, since the name's rest stood where the request line has the protocol.

Cause: the name was put into the path as it was.

Evidence: the new test read `POST /v1/databases/lake shore/ü/statements HTTP/1.1`. With the change the name is one part of the path.

--- a/src/load/load_task.cpp
+++ b/src/load/load_task.cpp
@@ -1,6 +1,8 @@
 #include "load/load_task.h"
 
 #include <algorithm>
+#include <cstdlib>
+#include <event2/http.h>
 #include <nlohmann/json.hpp>
 
 namespace baobabport::load {
@@ -21,6 +23,14 @@
     return static_cast<double>(value.count()) / 1000.0;
 }
 
+std::string encoded(const std::string &name)
+{
+    char *const raw = evhttp_uriencode(name.data(), static_cast<ev_ssize_t>(name.size()), 0);
+    std::string out(raw);
+    std::free(raw); // NOLINT(cppcoreguidelines-no-malloc): libevent allocates with malloc
+    return out;
+}
+
 std::size_t primary_in(const json &state)
 {
     std::size_t out = 0;
@@ -121,7 +131,7 @@
         body["request_id"] = it.request_id;
     http::client_request request;
     request.method = http::method_kind::post;
-    request.path = "/v1/databases/" + it.database + "/statements";
+    request.path = "/v1/databases/" + encoded(it.database) + "/statements";
     request.body = body.dump();
     request.timeout = plan.deadline + answer_grace_period;
     if (!it.token.empty())
