The soak's sessions set up changing values, names and shapes, and check what ran

Callers prepared one constant shape and set one value, so the incident could not show. Their names of prepared statements now collide and change, shapes and values have blanks, lone CR and LF and bytes that are no text, and the state changes within transactions, too; some transactions only read. Every statement that an instance runs is compared with the caller's record; the earlier check of the tag stays. An UNKNOWN is now a violation for any statement.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -1,5 +1,6 @@
 #include "caller.h"
 
+#include "session_texts.h"
 #include "support/socket_options.h"
 
 #include <array>
@@ -47,11 +48,12 @@
 
 } // namespace
 
-caller::caller(event_base *base, ledger &writes, const std::vector<entry_point> &entries, std::string name,
-               std::string service, std::uint64_t seed)
+caller::caller(event_base *base, ledger &writes, statement_account &account,
+               const std::vector<entry_point> &entries, std::string name, std::string service,
+               std::uint64_t seed)
     : base_(base), writes_(writes), entries_(entries), name_(std::move(name)), service_(std::move(service)),
       random_(seed), pause_(base, [this] { socket_ ? next() : connect(); }),
-      answer_timer_(base, [this] { close(false); })
+      answer_timer_(base, [this] { close(false); }), session_(account, name_)
 {
     pause_.start(milliseconds(random(100)));
 }
@@ -70,7 +72,7 @@
     const std::array<const char *, 3> kinds = {"main", "own", "old"};
     route_ = kinds.at(random(kinds.size()));
     reader_ = {};
-    prepared_ = false;
+    session_.begin();
     begin_new_items(); // an earlier session's writes do not count for this session's read-your-writes
     socket_ = bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(
@@ -131,6 +133,10 @@
             row_ = line->substr(4);
         } else if (kind == "READY") {
             answer_timer_.stop();
+            if (code_ == "UNKNOWN") // it only uses names whose preparing was acknowledged
+                writes_.violation(name_ + "'s prepared statement is unknown");
+            if (on_answer_)
+                session_.record_answer(code_.empty(), word(*line, 1) == "I");
             if (auto hook = std::exchange(on_answer_, {}))
                 hook(std::exchange(code_, {}), std::exchange(row_, {}));
         }
@@ -139,8 +145,7 @@
     }
 }
 
-void caller::send_statement(const std::string &text,
-                            std::function<void(const std::string &, const std::string &)> done)
+void caller::send_statement(const std::string &text, answer_hook done)
 {
     if (!socket_)
         return done("LOST", "");
@@ -150,11 +155,31 @@
     on_answer_ = std::move(done);
     last_id_ = name_ + '-' + std::to_string(statements_) + '.' + std::to_string(random_());
     sent_at_ = std::chrono::steady_clock::now();
+    session_.record_sent(last_id_, text);
     const auto line = "QUERY " + last_id_ + ' ' + text + "\r\n";
     bufferevent_write(socket_, line.data(), line.size());
     answer_timer_.start(answer_timeout);
 }
 
+/// Sends a statement that reads or writes the item, often after one that changes the session's state.
+void caller::send_random(const std::string &item, const std::string &data, const answer_hook &done)
+{
+    constexpr std::uint64_t change_interval = 3;
+    if (!socket_ || random(change_interval) != 0)
+        return send_statement(random_statement(session_, item, data, random_), done);
+    send_statement(random_state_change(session_, random_),
+                   [this, item, data, done](const auto &code, auto &) {
+                       if (!code.empty() && socket_)
+                           close(false); // as the protocol demands
+                       send_random(item, data, done);
+                   });
+}
+
+std::string caller::current_item() const
+{
+    return service_ + ':' + name_ + '.' + std::to_string(generation_);
+}
+
 void caller::next()
 {
     if (stopping_) {
@@ -163,14 +188,14 @@
     }
     constexpr std::uint64_t kinds = 10;
     const auto choice = random(kinds);
-    if (choice < 3)
+    if (choice < 4)
         write();
-    else if (choice < 4)
-        write_prepared();
     else if (choice < 6)
         transaction();
+    else if (choice < 7)
+        read_transaction();
     else
-        read_item(service_ + ':' + name_ + '.' + std::to_string(generation_));
+        read_item(random(4) == 0 ? random_blank_item(random_) : current_item());
 }
 
 void caller::record_answer(const std::string &item, std::uint64_t number, const std::string &code)
@@ -192,36 +217,13 @@
 
 void caller::write()
 {
-    const auto item = service_ + ':' + name_ + '.' + std::to_string(generation_);
+    const auto item = current_item();
     const auto number = writes_.next_number(item);
-    send_statement("WRITE " + item + ' ' + std::to_string(number),
-                   [this, item, number](const auto &code, const auto &) {
-                       record_answer(item, number, code);
-                       if (socket_)
-                           pause_.start(milliseconds(random(max_pause_ms)));
-                   });
-}
-
-void caller::write_prepared()
-{
-    if (!prepared_) {
-        send_statement("PREPARE put WRITE shape", [this](const auto &code, const auto &) {
-            prepared_ = code.empty();
-            if (socket_)
-                prepared_ ? write_prepared() : close(false);
-        });
-        return;
-    }
-    const auto item = service_ + ':' + name_ + '.' + std::to_string(generation_);
-    const auto number = writes_.next_number(item);
-    send_statement("EXECUTE put " + item + ' ' + std::to_string(number),
-                   [this, item, number](const auto &code, const auto &) {
-                       record_answer(item, number, code);
-                       if (code == "UNKNOWN")
-                           writes_.violation(name_ + "'s prepared statement is unknown");
-                       if (socket_)
-                           pause_.start(milliseconds(random(max_pause_ms)));
-                   });
+    send_random(item, std::to_string(number), [this, item, number](const auto &code, const auto &) {
+        record_answer(item, number, code);
+        if (socket_)
+            pause_.start(milliseconds(random(max_pause_ms)));
+    });
 }
 
 time_point caller::floor_time() const
@@ -232,7 +234,7 @@
 
 void caller::read_item(const std::string &item)
 {
-    send_statement("READ " + item, [this, item, floor = floor_time()](const auto &code, const auto &row) {
+    send_random(item, "", [this, item, floor = floor_time()](const auto &code, const auto &row) {
         if (code.empty()) {
             ++served_;
             // Writes that were lost with their primary during the read are not owed.
@@ -250,19 +252,53 @@
             return socket_ ? pause_.start(reconnect_pause) : void();
         const auto item = service_ + ':' + name_ + ".x" + std::to_string(generation_);
         const auto number = writes_.next_number(item);
-        const auto second = item + 'y';
-        writes_.next_number(second);
-        writes_.record_pair(item, second, number);
-        const auto text = std::to_string(number);
-        send_statement(
-            "WRITE " + item + ' ' + text, [this, second, text, number](const auto &failed, const auto &) {
-                if (!failed.empty())
-                    return finish_transaction(number, false);
-                send_statement("WRITE " + second + ' ' + text,
-                               [this, number](const auto &second_failed, const auto &) {
-                                   finish_transaction(number, second_failed.empty() && random(4) != 0);
-                               });
+        writes_.next_number(item + 'y');
+        writes_.record_pair(item, item + 'y', number);
+        write_pair(item, number);
+    });
+}
+
+/// Writes both items of the open transaction, and reads the first in between.
+void caller::write_pair(const std::string &item, std::uint64_t number)
+{
+    const auto text = std::to_string(number);
+    send_random(item, text, [this, item, text, number](const auto &failed, const auto &) {
+        if (!failed.empty())
+            return finish_transaction(number, false);
+        send_random(item, "", [this, item, text, number](const auto &read_failed, const auto &row) {
+            if (!read_failed.empty())
+                return finish_transaction(number, false);
+            writes_.check_read(item, row, number, name_ + " in its own transaction");
+            send_random(item + 'y', text, [this, number](const auto &second_failed, const auto &) {
+                finish_transaction(number, second_failed.empty() && random(4) != 0);
             });
+        });
+    });
+}
+
+void caller::read_transaction()
+{
+    send_statement("BEGIN READ", [this, floor = floor_time()](const auto &code, const auto &) {
+        if (!code.empty())
+            return socket_ ? pause_.start(reconnect_pause) : void();
+        read_twice(current_item(), floor, true);
+    });
+}
+
+/// Reads the item in the open transaction, `again` or for the last time, and then ends the transaction.
+void caller::read_twice(const std::string &item, time_point floor, bool again)
+{
+    send_random(item, "", [this, item, floor, again](const auto &code, const auto &row) {
+        if (code.empty()) {
+            ++served_;
+            writes_.check_read(item, row, writes_.newest_acknowledged(item, floor), name_ + " on " + route_);
+            if (again)
+                return read_twice(item, floor, false);
+        }
+        send_statement(code.empty() ? "COMMIT" : "ROLLBACK", [this](const auto &, const auto &) {
+            if (socket_)
+                pause_.start(milliseconds(random(max_pause_ms)));
+        });
     });
 }
 
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -5,6 +5,7 @@
 #include "inner/timer.h"
 #include "ledger.h"
 #include "platform/line_codec.h"
+#include "session_record.h"
 #include "support/address.h"
 
 #include <functional>
@@ -29,13 +30,15 @@
 
 /**
  * Has one session at a time, with a random process. Each caller writes only its own items and sets its own
- * tag as a session value.
+ * tag as a session value. Other values and the names of prepared statements collide with those of other
+ * callers and change all the time.
  */
 class caller
 {
 public:
-    caller(event_base *base, ledger &writes, const std::vector<entry_point> &entries, std::string name,
-           std::string service, std::uint64_t seed);
+    caller(event_base *base, ledger &writes, statement_account &account,
+           const std::vector<entry_point> &entries, std::string name, std::string service,
+           std::uint64_t seed);
     ~caller();
     caller(const caller &) = delete;
     caller &operator=(const caller &) = delete;
@@ -50,26 +53,25 @@
     [[nodiscard]] std::uint64_t served() const { return served_; }
 
 private:
-    struct statement
-    {
-        std::string text;
-        std::function<void(const std::string &code, const std::string &row)> done;
-    };
+    using answer_hook = std::function<void(const std::string &code, const std::string &row)>;
 
     void connect();
     void close(bool by_peer);
     void read_lines();
     void next();
-    void send_statement(const std::string &text,
-                        std::function<void(const std::string &, const std::string &)> done);
+    void send_statement(const std::string &text, answer_hook done);
+    void send_random(const std::string &item, const std::string &data, const answer_hook &done);
     void write();
-    void write_prepared();
     void read_item(const std::string &item);
     void transaction();
+    void write_pair(const std::string &item, std::uint64_t number);
+    void read_transaction();
+    void read_twice(const std::string &item, time_point floor, bool again);
     void finish_transaction(std::uint64_t number, bool commit);
     void record_answer(const std::string &item, std::uint64_t number, const std::string &code);
     void begin_new_items();
     [[nodiscard]] time_point floor_time() const;
+    [[nodiscard]] std::string current_item() const;
     std::uint64_t random(std::uint64_t below) { return random_() % below; }
 
     event_base *base_;
@@ -86,13 +88,13 @@
     std::string route_; ///< `main`, `own` or `old`, followed by the service
     std::string code_;  ///< error code of the answer being received; empty without an error
     std::string row_;
-    std::function<void(const std::string &, const std::string &)> on_answer_;
+    answer_hook on_answer_;
+    session_record session_;
     std::uint64_t statements_ = 0;
     std::string last_id_;
     time_point sent_at_;           ///< when the last statement was sent
     std::uint64_t generation_ = 0; ///< part of the item names; a write of unknown outcome begins new items
     std::uint64_t last_commit_position_ = 0;
-    bool prepared_ = false;
     bool stopping_ = false;
     std::uint64_t served_ = 0;
 };
--- a/soak/soak_site.cpp
+++ b/soak/soak_site.cpp
@@ -71,8 +71,9 @@
     configure();
     make_proxies();
     for (std::size_t n = 0; n < options_.callers; ++n)
-        callers_.push_back(std::make_unique<caller>(base_, writes_, entries_, "s" + std::to_string(n),
-                                                    services[n % services.size()], random_()));
+        callers_.push_back(std::make_unique<caller>(base_, writes_, account_, entries_,
+                                                    "s" + std::to_string(n), services[n % services.size()],
+                                                    random_()));
 }
 
 soak_site::~soak_site() = default;
@@ -294,6 +295,8 @@
     for (auto &[service, group] : groups_) {
         for (const auto &it : std::exchange(group->ran, {})) {
             ran_.insert(it.id);
+            for (const auto &text : account_.check(it))
+                writes_.violation(text);
             const auto who = it.id.substr(0, it.id.find('-'));
             const auto tag = it.values.find("tag");
             if (tag == it.values.end() || tag->second != who)
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -12,6 +12,7 @@
 #include "order_ledger.h"
 #include "peer_switch.h"
 #include "relay.h"
+#include "statement_account.h"
 
 #include <atomic>
 #include <functional>
@@ -142,6 +143,7 @@
     std::mt19937_64 random_;
     event_base *base_;
     ledger writes_;
+    statement_account account_;
     order_ledger orders_{[this](const auto &text) { writes_.violation(text); }};
     std::vector<std::string> events_;
     time_point begun_at_;
