--- a/src/platform/line_codec.cpp
+++ b/src/platform/line_codec.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::string_view no_position = "-";
 constexpr std::string_view line_ending = "\r\n";
+constexpr std::string_view statement_word = "QUERY ";
 
 struct code_name
 {
@@ -220,9 +221,14 @@
     end_line(out);
 }
 
+bool statement_fits(std::string_view id, std::string_view text)
+{
+    return statement_word.size() + id.size() + 1 + text.size() <= max_message;
+}
+
 void write_statement(std::string_view id, std::string_view text, std::string &out)
 {
-    out += "QUERY ";
+    out += statement_word;
     out += id;
     out += ' ';
     out += text;
@@ -240,9 +246,19 @@
     return "AFTER " + position_text(floor) + ' ' + std::string(text);
 }
 
-std::string execute_text(const std::string &name, std::string_view rest)
+std::optional<std::string> rename_execute(std::string_view text, std::string_view name,
+                                          std::string_view new_name)
 {
-    return rest.empty() ? "EXECUTE " + name : "EXECUTE " + name + ' ' + std::string(rest);
+    constexpr std::string_view word = "EXECUTE ";
+    if (!text.starts_with(word) || !text.substr(word.size()).starts_with(name))
+        return std::nullopt;
+    const auto rest = text.substr(word.size() + name.size());
+    if (!rest.empty() && rest.front() != ' ')
+        return std::nullopt;
+    std::string out(word);
+    out += new_name;
+    out += rest;
+    return out;
 }
 
 std::string set_text(const std::string &name, const std::string &value)
@@ -250,9 +266,9 @@
     return "SET " + name + ' ' + value;
 }
 
-std::string prepare_text(const session::prepared_statement &prepared)
+std::string prepare_text(const session::named_statement &it)
 {
-    return "PREPARE " + prepared.shared_name() + (prepared.writes ? " WRITE " : " READ ") + prepared.shape;
+    return "PREPARE " + it.name + (it.prepared.writes ? " WRITE " : " READ ") + it.prepared.shape;
 }
 
 std::string rollback_text()
--- a/src/proxy/instance_pool.cpp
+++ b/src/proxy/instance_pool.cpp
@@ -85,6 +85,7 @@
     if (all_.size() >= refused_above_ && opening() > 0)
         return;
     auto it = std::make_shared<upstream_connection>(base_, target_);
+    it->number = ++last_connection_number_;
     health_.requested();
     all_.push_back(it);
     auto *const raw = it.get();
@@ -165,7 +166,7 @@
         auto chosen = idle_.end() - 1;
         if (values) {
             const auto same = std::find_if(idle_.begin(), idle_.end(), [values](const auto &it) {
-                return it.upstream->values == *values;
+                return it.upstream->session_state.values() == *values;
             });
             if (same != idle_.end())
                 chosen = same;
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -3,17 +3,17 @@
 #pragma once
 
 #include "platform/line_codec.h"
+#include "session/connection_state.h"
 #include "session/messages.h"
-#include "session/session_context.h"
 #include "support/address.h"
 #include "support/boot_clock.h"
 
 #include <chrono>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 struct event_base;
@@ -90,9 +90,9 @@
     /// The connection is closed if a statement is still unanswered at this time.
     time_point deadline;
 
-    /// Session values that earlier users have set on the connection.
-    session::session_values values;
-    std::set<std::string> prepared; ///< prepared statements, by shared name
+    std::uint64_t number = 0; ///< within its pool, for logs
+
+    session::connection_state session_state; ///< set up by the sessions that have used the connection
 
 private:
     struct pending
