A home refuses callers' statements that a former version forwards with the id "-"

Callers would see: the end of a home's process, with all its sessions, or a statement without its session's values (rule PINNED). Cause: a process of a former version forwards a caller's statement with the id of the proxy's own statements. Its home sets up no state for that id; for an EXECUTE, the connection then has no name of the shape, and the exception of std::map::at leaves an event handler. Evidence: the new test failed with "unexpected exception with message: 'map::at'". Change: of the statements with this id, a home accepts the status request alone, the only one that processes send each other, and answers that the others have not run. Test: requests as former versions send them, beside names after UNKNOWN and after a reset.

--- a/src/proxy/local_executor.cpp
+++ b/src/proxy/local_executor.cpp
@@ -10,10 +10,15 @@
 
 void local_executor::execute(std::uint64_t owner, inner::execute_request request, answer_hook done)
 {
-    const bool status_request =
-        request.id == platform::own_statement_id && request.text == platform::status_text();
-    if (!status_request)
+    if (request.id != platform::own_statement_id)
         start(owner, std::move(request), std::move(done));
+    else if (request.text != platform::status_text() || request.prepared || request.transaction != 0)
+        // A former version forwards such statements of callers, which need their session's state.
+        done({inner::execute_outcome::not_run,
+              "the id is reserved for the proxy's own statements",
+              false,
+              {},
+              0});
     else if (state_->status_requests.submit(request.instance, std::move(done)))
         send_status_request(request);
 }
