Tests for shapes whose preparing failed, and for the greatest message

Small defects that no test caught: a name that is kept after its PREPARE was refused, was too long, or after UNKNOWN; a refused shape reported though a value had failed before it; a message limit that is off by one. Change: the stand-in of an instance can forget prepared statements and refuse a value, and answers MALFORMED to whatever does not end a failed transaction, as the protocol has it.

--- a/standins/line_group.h
+++ b/standins/line_group.h
@@ -70,6 +70,7 @@
 
     std::vector<ran_statement> ran;
     line_group_traits traits;
+    std::string refused_value; ///< a `SET` of this name gets `READONLY`; empty: none
     std::string refused_shape; ///< a `PREPARE` of it gets `MALFORMED`; empty: none
 
     /// Called at the end of a promotion for each entry that the new primary's log lacks. `only_at_primary`:
--- a/standins/line_instance.cpp
+++ b/standins/line_instance.cpp
@@ -121,6 +121,12 @@
     connections_.clear();
 }
 
+void line_instance::forget_prepared()
+{
+    for (const auto &it : connections_)
+        it.second->prepared.clear();
+}
+
 void line_instance::restart(bool as_primary)
 {
     if (!crashed())
@@ -222,6 +228,8 @@
     }
     auto rest = text;
     const auto word = pop_word(rest);
+    if (from.state == 'E' && word != "COMMIT" && word != "ROLLBACK")
+        return send_error(from, "MALFORMED");
     if (word == "READ" || word == "WRITE" || word == "EXECUTE" || word == "COMMIT")
         admit(from, id, text);
     else
@@ -321,6 +329,8 @@
         from.uncommitted_writes.clear();
     } else if (word == "SET") {
         const auto name = pop_word(words);
+        if (name == group_.refused_value)
+            return send_error(from, "READONLY");
         from.values[name] = words;
     } else if (word == "PREPARE") {
         const auto name = pop_word(words);
--- a/standins/line_instance.h
+++ b/standins/line_instance.h
@@ -48,6 +48,9 @@
     /// Resets all connections and continues to listen.
     void reset_connections();
 
+    /// Forgets the prepared statements of all connections.
+    void forget_prepared();
+
     /// Listens again at the same address with the same log, as primary or as replica.
     void restart(bool as_primary);
 
--- a/tests/platform/test_line_codec.cpp
+++ b/tests/platform/test_line_codec.cpp
@@ -181,3 +181,14 @@
     CHECK_FALSE(rename_execute("EXECUTE s12 x", "s1", "p7"));
     CHECK_FALSE(rename_execute("READ s1 x", "s1", "p7"));
 }
+
+TEST_CASE("a statement fits if its message has the greatest length, and no more")
+{
+    std::string text(max_message - std::string("QUERY - ").size(), 'x');
+    std::string message;
+    write_statement("-", text, message);
+    CHECK(message.size() == max_message + std::string("\r\n").size());
+    CHECK(statement_fits("-", text));
+    CHECK_FALSE(statement_fits("-", text + 'x'));
+    CHECK_FALSE(statement_fits("--", text));
+}
--- a/tests/proxy/test_statement_execution.cpp
+++ b/tests/proxy/test_statement_execution.cpp
@@ -44,7 +44,7 @@
     /// Executes a statement of a peer, and returns its answer.
     inner::execute_answer execute(const std::string &id, const std::string &text,
                                   const std::optional<prepared_statement> &prepared = {},
-                                  const session::session_values &values = {})
+                                  const session::session_values &values = {}, std::uint64_t transaction = 0)
     {
         inner::execute_request request;
         request.service = "db";
@@ -53,6 +53,8 @@
         request.text = text;
         request.prepared = prepared;
         request.values = values;
+        request.transaction = transaction;
+        request.begin = begin;
         request.label = "test";
         request.time_left = request.wait_left = milliseconds(60000);
         std::optional<inner::execute_answer> out;
@@ -62,6 +64,7 @@
         return *out;
     }
 
+    inner::begin_mode begin = inner::begin_mode::none; ///< of the next statements
     event_base *base;
     std::optional<standin::line_group> group;
     std::shared_ptr<proxy::instance_pool> pool;
@@ -125,7 +128,7 @@
         return home.execute("1", "EXECUTE w_q1 x 1", prepared, values);
     };
     CHECK(succeeded(execute({{"zone", "erie"}})));
-    home.group->at("i-1").fail_next_with = "UNKNOWN";
+    home.group->at("i-1").forget_prepared();
     const auto unknown = execute({{"zone", "erie"}});
     REQUIRE(unknown.answer.error);
     CHECK(unknown.answer.error->code == session::answer_code::unknown_name);
@@ -135,3 +138,38 @@
     CHECK(home.group->ran.back().shape == "WRITE q1");
     CHECK(home.group->at("i-1").connections() == 1);
 }
+
+// Guards against UNKNOWN for a shape whose preparing failed: its name must not be kept.
+TEST_CASE("a shape that is refused or too long gets the same answer each time")
+{
+    answering_home home;
+    home.group->refused_shape = "odd";
+    std::string shape = "odd";
+    SECTION("refused by the instance") {}
+    SECTION("too long with the connection's name")
+    {
+        shape.assign(platform::max_message - std::string("QUERY - PREPARE p WRITE ").size(), 's');
+    }
+    for (int n = 0; n < 2; ++n) {
+        const auto answer = home.execute("1", "EXECUTE w_" + shape + " x", prepared_statement{true, shape});
+        REQUIRE(answer.answer.error);
+        CHECK(answer.answer.error->code == session::answer_code::malformed);
+    }
+    CHECK(home.group->at("i-1").connections() == 1);
+}
+
+// Guards against MALFORMED for a transaction that failed at its instance: callers may repeat an aborted one.
+TEST_CASE("a shape that follows a failed value is not reported as refused")
+{
+    answering_home home;
+    home.begin = inner::begin_mode::read_write;
+    const auto first = home.execute("1", "READ x");
+    REQUIRE(first.transaction != 0);
+    home.group->refused_value = "zone";
+    const auto second = home.execute("2", "EXECUTE w_q1 x 1", prepared_statement{true, "q1"},
+                                     {{"zone", "erie"}}, first.transaction);
+    CHECK(second.outcome == execute_outcome::not_run);
+    home.begin = inner::begin_mode::none;
+    CHECK(succeeded(home.execute("3", "READ x")));
+    CHECK(home.group->at("i-1").open_transactions() == 0);
+}
