Callers identify themselves by keys of workspaces

Cause: a desired state may list workspaces with keys; every statement ran under the name of the process, whoever the caller was.

Change: a key index maps hashes of keys to workspaces; sessions with an unknown key get DENIED, removed keys end sessions, transactions and waiting statements. Statements carry the workspace to the instance's home, where each connection belongs to one workspace. Other processes get the desired state with hashes in place of keys. Without a list of workspaces nothing changes.

--- a/src/directory/desired_state.h
+++ b/src/directory/desired_state.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,7 @@
     std::chrono::milliseconds target_latency{200}; ///< for a complete operation
     std::chrono::milliseconds max_staleness{0};
     std::uint32_t priority = 0; ///< 0 is the highest priority
+    bool is_public = false;     ///< callers need no key
     bool operator==(const route &) const = default;
 };
 
@@ -38,11 +40,29 @@
     bool operator==(const service &) const = default;
 };
 
+/// How many operations a workspace may run, over all processes together.
+struct quota
+{
+    double rate_per_s = 0;
+    double burst = 0; ///< operations that may exceed the rate after a time of less use
+    bool operator==(const quota &) const = default;
+};
+
+/// A customer whose callers identify themselves by keys.
+struct workspace
+{
+    std::string name;
+    std::vector<std::string> key_hashes; ///< see `workspace::hash_of_key`; the keys are not kept
+    std::optional<quota> limit;          ///< none: unlimited
+    bool operator==(const workspace &) const = default;
+};
+
 struct desired_state
 {
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::vector<service> services;
+    std::optional<std::vector<workspace>> workspaces; ///< none: callers need no keys
     std::chrono::milliseconds transaction_idle{3000}; ///< time limit for an idle open transaction
 };
 
--- a/src/inner/directory_messages.h
+++ b/src/inner/directory_messages.h
@@ -24,7 +24,7 @@
     directory_part part = directory_part::desired_state;
 };
 
-/// The items of the part, as they are in the store.
+/// The items of the part, as they are in the store but for keys, which are replaced by hashes.
 struct directory_answer
 {
     bool available = false; ///< false: the other side has not read it, or it is too large to pass on
--- a/src/inner/execute_messages.cpp
+++ b/src/inner/execute_messages.cpp
@@ -20,6 +20,8 @@
 
 /// Processes of earlier versions do not send this field of an answer, and ignore it.
 constexpr std::size_t cut_field = 9;
+/// The same of a request.
+constexpr std::size_t workspace_field = 13;
 
 json position_fields(const std::optional<consistency::position> &at)
 {
@@ -54,7 +56,7 @@
 {
     if (fields.is_null())
         return std::nullopt;
-    return session::failure{support::enum_of(fields.at(0), session::answer_code::no_database),
+    return session::failure{support::enum_of(fields.at(0), session::answer_code::denied),
                             fields.at(1).get<std::string>()};
 }
 
@@ -71,7 +73,7 @@
         json::array({message.service, message.instance, message.priority, message.time_left.count(),
                      message.wait_left.count(), values, prepared_fields(message.prepared),
                      static_cast<std::uint8_t>(message.begin), position_fields(message.floor),
-                     message.transaction, message.id, message.text, message.label}));
+                     message.transaction, message.id, message.text, message.label, message.workspace}));
 }
 
 std::string encode(const execute_answer &message)
@@ -106,6 +108,8 @@
         out.id = fields.at(10).get<std::string>();
         out.text = fields.at(11).get<std::string>();
         out.label = fields.at(12).get<std::string>();
+        if (fields.size() > workspace_field)
+            out.workspace = fields.at(workspace_field).get<std::string>();
     });
 }
 
--- a/src/inner/execute_messages.h
+++ b/src/inner/execute_messages.h
@@ -39,7 +39,8 @@
     std::optional<consistency::position> floor; ///< the instance's log must have reached it; none: no minimum
     std::uint64_t transaction = 0;              ///< the open transaction it belongs to; 0: none
     std::string id;
-    std::string text; ///< names `prepared` by its `peer_name()`
+    std::string text;      ///< names `prepared` by its `peer_name()`
+    std::string workspace; ///< on whose connections it runs; empty: on those of the proxy itself
 };
 
 /// The outcome of a forwarded statement.
--- a/src/platform/line_codec.cpp
+++ b/src/platform/line_codec.cpp
@@ -28,7 +28,7 @@
     std::string_view word;
 };
 
-constexpr std::array<code_name, 12> code_names{{
+constexpr std::array<code_name, 13> code_names{{
     {answer_code::busy, "BUSY"},
     {answer_code::aborted, "ABORTED"},
     {answer_code::lagging, "LAGGING"},
@@ -41,6 +41,7 @@
     {answer_code::unknown_name, "UNKNOWN"},
     {answer_code::malformed, "MALFORMED"},
     {answer_code::no_database, "NODB"},
+    {answer_code::denied, "DENIED"},
 }};
 
 std::string_view pop_word(std::string_view &text)
--- a/src/platform/record_codec.cpp
+++ b/src/platform/record_codec.cpp
@@ -3,9 +3,12 @@
 #include "platform/record_codec.h"
 
 #include "platform/line_codec.h"
+#include "workspace/key_index.h"
 
+#include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <stdexcept>
 #include <string_view>
 
@@ -59,6 +62,72 @@
     out.priority = fields.at("priority").get<std::uint32_t>();
     if (fields.contains("max_staleness_ms"))
         out.max_staleness = milliseconds_of(fields, "max_staleness_ms");
+    if (fields.contains("public"))
+        out.is_public = fields.at("public").get<bool>();
+    return out;
+}
+
+constexpr std::string_view hash_prefix = "sha256:";
+
+bool is_word(std::string_view text)
+{
+    return !text.empty() && text.size() <= max_word &&
+           std::none_of(text.begin(), text.end(), [](unsigned char it) { return it <= ' ' || it == 0x7f; });
+}
+
+std::string hash_of(const std::string &key)
+{
+    if (key.starts_with(hash_prefix))
+        return key.substr(hash_prefix.size());
+    return workspace::hash_of_key(key);
+}
+
+/// Returns a count of operations; throws for negative and infinite ones and for other types.
+double operations_of(const json &fields, const char *name)
+{
+    const auto &value = fields.at(name);
+    const auto number = value.is_number() ? value.get<double>() : -1;
+    if (!(number >= 0 && number <= max_rate))
+        throw std::runtime_error(std::string(name) + " is not a number from 0 to 1000000000");
+    return number;
+}
+
+directory::workspace read_workspace(const json &fields)
+{
+    directory::workspace out;
+    out.name = fields.at("name").get<std::string>();
+    if (!is_word(out.name))
+        throw std::runtime_error("a tenant's name is not a single word");
+    for (const auto &it : fields.at("api_keys")) {
+        const auto key = it.get<std::string>();
+        if (!is_word(key))
+            throw std::runtime_error("a key of tenant " + out.name + " is not a word of 1 to " +
+                                     std::to_string(max_word) + " bytes");
+        out.key_hashes.push_back(hash_of(key));
+    }
+    if (fields.contains("rate_per_s")) {
+        auto &limit = out.limit.emplace();
+        limit.rate_per_s = operations_of(fields, "rate_per_s");
+        limit.burst = fields.contains("burst") ? operations_of(fields, "burst") : limit.rate_per_s;
+    }
+    return out;
+}
+
+std::vector<directory::workspace> read_workspaces(const json &list)
+{
+    std::vector<directory::workspace> out;
+    std::set<std::string> names;
+    std::set<std::string> hashes;
+    for (const auto &it : list) {
+        auto workspace = read_workspace(it);
+        if (!names.insert(workspace.name).second)
+            throw std::runtime_error("two tenants have the name " + workspace.name);
+        for (const auto &hash : workspace.key_hashes) {
+            if (!hashes.insert(hash).second)
+                throw std::runtime_error("a key of tenant " + workspace.name + " is listed twice");
+        }
+        out.push_back(std::move(workspace));
+    }
     return out;
 }
 
@@ -103,14 +172,32 @@
             out.routes.push_back(read_route(it));
         for (const auto &it : body.at("backends"))
             out.services.push_back(read_service(it));
+        if (body.contains("tenants"))
+            out.workspaces = read_workspaces(body.at("tenants"));
         out.transaction_idle = milliseconds_of(body.at("limits"), "tx_idle_ms");
         return out;
+    } catch (const json::parse_error &ec) {
+        // Its text quotes the value, which holds keys.
+        reason = "no JSON, at byte " + std::to_string(ec.byte);
+        return std::nullopt;
     } catch (const std::exception &ec) {
         reason = ec.what();
         return std::nullopt;
     }
 }
 
+std::string without_keys(const std::string &value)
+{
+    auto body = json::parse(value);
+    if (!body.contains("tenants"))
+        return value;
+    for (auto &it : body.at("tenants")) {
+        for (auto &key : it.at("api_keys"))
+            key = std::string(hash_prefix) + hash_of(key.get<std::string>());
+    }
+    return body.dump();
+}
+
 std::optional<directory::instance_record> read_instance_record(const std::string &key,
                                                                const std::string &value, std::string &reason)
 {
--- a/src/proxy/caller_task.cpp
+++ b/src/proxy/caller_task.cpp
@@ -20,6 +20,12 @@
 using session::statement_kind;
 using session::transaction_state;
 
+namespace {
+
+constexpr const char *keys_outdated = "the desired state is too old to verify keys; retry in 1000 ms";
+
+} // namespace
+
 caller_task::caller_task(const session_environment &environment, int socket, std::uint64_t number,
                          std::function<void(std::uint64_t)> ended)
     : environment_(environment), number_(number), ended_(std::move(ended)),
@@ -131,6 +137,7 @@
         return;
     }
     database_ = message.database;
+    key_hash_ = workspace::hash_of_key(message.caller);
     if (!environment_.routes->loaded()) {
         awaits_routes_ = true; // `tick` continues
         environment_.directory_needed();
@@ -141,23 +148,94 @@
 
 void caller_task::open_session()
 {
-    std::string out;
     awaits_routes_ = false;
-    if (!environment_.routes->find(database_)) {
+    const auto destination = route();
+    if (!destination) {
         const bool loaded = environment_.routes->loaded();
-        support::log_event("session_refused", {{"database", database_},
-                                               {"version", std::to_string(environment_.routes->version())}});
-        platform::write_failure(loaded ? answer_code::no_database : answer_code::busy,
-                                loaded ? "no route has this database" : "routes are not known yet", out);
-        reply(out);
-        close_after_write();
-        return;
+        return refuse_session(loaded ? answer_code::no_database : answer_code::busy,
+                              loaded ? "no route has this database" : "routes are not known yet");
+    }
+    if (environment_.keys->required() && !destination->is_public) {
+        if (!environment_.keys_are_current())
+            return refuse_session(answer_code::busy, keys_outdated);
+        const auto owner = environment_.keys->find(key_hash_);
+        if (!owner)
+            return refuse_session(answer_code::denied, "no workspace has this key");
+        workspace_ = owner->name;
     }
     phase_ = phase::ready;
+    std::string out;
     platform::write_prompt(transaction_state::none, out);
     reply(out);
 }
 
+void caller_task::refuse_session(answer_code code, const std::string &reason)
+{
+    support::log_event("session_refused", {{"database", database_},
+                                           {"code", std::string(platform::code_word(code))},
+                                           {"key_hash", workspace::short_hash(key_hash_)},
+                                           {"reason", reason},
+                                           {"version", std::to_string(environment_.routes->version())}});
+    environment_.metrics->count("baobabport_sessions_refused_total",
+                                support::label("reason", platform::code_word(code)));
+    std::string out;
+    platform::write_failure(code, reason, out);
+    reply(out);
+    close_after_write();
+}
+
+bool caller_task::admit(const directory::route &destination)
+{
+    const auto &keys = *environment_.keys;
+    if (!keys.required() || destination.is_public)
+        return true;
+    if (!environment_.keys_are_current()) {
+        failed_transaction_ = transaction_ != nullptr;
+        reply_failure(transaction_ ? answer_code::aborted : answer_code::busy, keys_outdated);
+        return false;
+    }
+    // A session that began without workspaces, or on a public route, has not been assigned to one yet.
+    if (workspace_.empty()) {
+        const auto owner = keys.find(key_hash_);
+        if (!owner) {
+            handle_denied();
+            return false;
+        }
+        workspace_ = owner->name;
+    }
+    return true;
+}
+
+void caller_task::check_key()
+{
+    if (phase_ != phase::ready || key_removed_ || workspace_.empty() || !socket_)
+        return;
+    const auto owner = environment_.keys->find(key_hash_);
+    const bool valid = owner ? owner->name == workspace_ : !environment_.keys->required();
+    if (valid)
+        return;
+    key_removed_ = true;
+    support::log_event("key_removed", {{"database", database_},
+                                       {"workspace", workspace_},
+                                       {"key_hash", workspace::short_hash(key_hash_)},
+                                       {"version", std::to_string(environment_.routes->version())}});
+    if (run_) {
+        const auto run = run_; // released when it finishes
+        run->revoke();
+    } else if (transaction_) {
+        end_transaction("the key was removed");
+    }
+    if (socket_ && idle())
+        close_after_write();
+}
+
+void caller_task::handle_denied()
+{
+    release_transaction();
+    reply_failure(answer_code::denied, "the key is not valid");
+    close_after_write();
+}
+
 void caller_task::handle_message(const session::statement_request &message)
 {
     if (phase_ != phase::ready) {
@@ -167,6 +245,8 @@
         close_after_write();
         return;
     }
+    if (key_removed_)
+        return handle_denied();
     if (message.id == platform::own_statement_id) {
         reply_failure(answer_code::malformed, "this id is reserved for the proxy's own statements");
         return;
@@ -229,6 +309,8 @@
     const auto destination = route();
     if (!destination)
         return reply_failure(answer_code::no_database, "no route has this database");
+    if (!admit(*destination))
+        return;
     transaction_ = std::make_shared<transaction>();
     transaction_->route = destination;
     transaction_->group = environment_.group_of(destination->service);
@@ -264,6 +346,9 @@
     request.route = transaction_ ? transaction_->route : route();
     if (!request.route)
         return reply_failure(answer_code::no_database, "no route has this database");
+    if (!admit(*request.route))
+        return;
+    request.workspace = request.route->is_public ? std::string() : workspace_;
     if (what.kind == statement_kind::execute) {
         const auto *const prepared = session_->find_prepared(what.name);
         if (!prepared) {
@@ -318,7 +403,7 @@
         platform::write_success(result.receipt, out);
     platform::write_prompt(state(), out);
     reply(out);
-    if (close_when_idle_ && idle())
+    if ((close_when_idle_ && idle()) || key_removed_)
         return close_after_write();
     process_lines();
 }
--- a/src/proxy/caller_task.h
+++ b/src/proxy/caller_task.h
@@ -5,6 +5,7 @@
 #include "directory/route_table.h"
 #include "proxy/statement_run.h"
 #include "support/metrics.h"
+#include "workspace/key_index.h"
 
 #include <cstdint>
 #include <functional>
@@ -22,6 +23,9 @@
 {
     event_base *base = nullptr;
     directory::route_table *routes = nullptr;
+    const workspace::key_index *keys = nullptr;
+    /// Returns false while the keys may be outdated and the settings call for refusal in this case.
+    std::function<bool()> keys_are_current;
     support::metrics *metrics = nullptr;
     statement_executor *executor = nullptr;
     std::function<std::shared_ptr<group_task>(const std::string &service)> group_of;
@@ -57,6 +61,9 @@
     void start();
     void tick(time_point now);
 
+    /// Ends the session if its key is not valid any more in the desired state that has just been applied.
+    void check_key();
+
     /// Closes the session as soon as it is idle: at once if no transaction is open and no statement runs.
     void close_when_idle();
 
@@ -83,6 +90,10 @@
     void handle_message(const session::caller_message &message);
     void handle_message(const session::open_session &message);
     void open_session();
+    void refuse_session(session::answer_code code, const std::string &reason);
+    /// Returns false, with a reason, if the session's callers may not use the route at present.
+    bool admit(const directory::route &destination);
+    void handle_denied();
     void handle_message(const session::statement_request &message);
     void answer_locally(const session::statement &what, const session::statement_request &message);
     void begin(bool read_only);
@@ -105,6 +116,9 @@
     platform::line_reader reader_;
     phase phase_ = phase::opening;
     std::string database_;
+    std::string key_hash_;  ///< of the key that the caller presented
+    std::string workspace_; ///< that the key identifies; empty: none, on a public route or without workspaces
+    bool key_removed_ = false;
     std::shared_ptr<session::session_context> session_;
     std::shared_ptr<statement_run> run_;
     std::shared_ptr<transaction> transaction_;
--- a/src/proxy/instance_pool.cpp
+++ b/src/proxy/instance_pool.cpp
@@ -6,6 +6,7 @@
 #include "support/json_log.h"
 
 #include <algorithm>
+#include <map>
 
 namespace baobabport::proxy {
 
@@ -30,8 +31,11 @@
         done(nullptr, acquire_failure::unreachable);
         return id;
     }
-    if (waiting_.empty()) {
-        if (const auto it = pop_idle(request.values.get())) {
+    const auto waits_for_same = [&request](const auto &it) {
+        return it.request.workspace == request.workspace;
+    };
+    if (std::none_of(waiting_.begin(), waiting_.end(), waits_for_same)) {
+        if (const auto it = pop_idle(request)) {
             done(it, std::nullopt);
             return id;
         }
@@ -60,6 +64,7 @@
     }
     idle_.push_back({it, clock_type::now()});
     serve_waiting();
+    open_for_waiting(); // it may be closed in favour of another workspace
 }
 
 void instance_pool::drop(const connection &it)
@@ -78,13 +83,58 @@
         std::count_if(all_.begin(), all_.end(), [](const auto &it) { return !it->is_open(); }));
 }
 
+std::size_t instance_pool::opening(const std::string &workspace) const
+{
+    return static_cast<std::size_t>(std::count_if(all_.begin(), all_.end(), [&workspace](const auto &it) {
+        return !it->is_open() && it->workspace == workspace;
+    }));
+}
+
+const instance_pool::waiter *instance_pool::next_to_open() const
+{
+    std::map<std::string, std::size_t> waiting;
+    const waiter *out = nullptr;
+    for (const auto &it : waiting_) {
+        const bool more_urgent = !out || it.request.priority < out->request.priority;
+        if (++waiting[it.request.workspace] > opening(it.request.workspace) && more_urgent)
+            out = &it;
+    }
+    return out;
+}
+
+bool instance_pool::close_unneeded()
+{
+    const auto needed = [this](const std::string &workspace) {
+        return std::any_of(waiting_.begin(), waiting_.end(),
+                           [&workspace](const auto &it) { return it.request.workspace == workspace; });
+    };
+    // Connections are added when they become idle, so the first is idle for longest.
+    const auto found = std::find_if(idle_.begin(), idle_.end(),
+                                    [&needed](const auto &it) { return !needed(it.upstream->workspace); });
+    if (found == idle_.end())
+        return false;
+    const auto closed = found->upstream;
+    idle_.erase(found);
+    closed->abandon();
+    all_.erase(std::remove(all_.begin(), all_.end(), closed), all_.end());
+    return true;
+}
+
 void instance_pool::open_for_waiting()
 {
-    if (retired_ || all_.size() >= limit_ || opening() >= waiting_.size() || !reachable(clock_type::now()))
+    if (retired_ || limit_ == 0 || waiting_.empty() || !reachable(clock_type::now()))
+        return;
+    const auto *const next = next_to_open();
+    if (!next || (all_.size() >= refused_above_ && opening() > 0))
         return;
-    if (all_.size() >= refused_above_ && opening() > 0)
+    if (all_.size() >= std::min<std::size_t>(limit_, refused_above_) && !close_unneeded() &&
+        all_.size() >= limit_)
         return;
-    auto it = std::make_shared<upstream_connection>(base_, target_);
+    auto target = target_;
+    if (!next->request.workspace.empty())
+        target.caller = next->request.workspace;
+    auto it = std::make_shared<upstream_connection>(base_, std::move(target));
+    it->workspace = next->request.workspace;
     it->number = ++last_connection_number_;
     health_.requested();
     all_.push_back(it);
@@ -99,6 +149,7 @@
                   me->refused_above_ = std::max(me->refused_above_, me->all_.size());
                   me->idle_.push_back({raw->shared_from_this(), clock_type::now()});
                   me->serve_waiting();
+                  me->open_for_waiting();
               },
               health_.requested, health_.answered,
               [weak, raw](const std::optional<session::failure> &refusal) {
@@ -144,14 +195,28 @@
 {
     // After a suspension of the process, sockets are handled before timers: requests may have expired.
     refuse_expired(clock_type::now());
-    while (!waiting_.empty() && !idle_.empty()) {
-        const auto next = next_waiter();
+    for (;;) {
+        auto next = waiting_.end();
+        for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
+            const bool more_urgent = next == waiting_.end() || it->request.priority < next->request.priority;
+            if (more_urgent && has_idle(it->request.workspace))
+                next = it;
+        }
+        if (next == waiting_.end())
+            return;
         auto chosen = std::move(*next);
         waiting_.erase(next);
-        chosen.done(pop_idle(chosen.request.values.get()), std::nullopt);
+        chosen.done(pop_idle(chosen.request), std::nullopt);
     }
 }
 
+bool instance_pool::has_idle(const std::string &workspace) const
+{
+    return std::any_of(idle_.begin(), idle_.end(), [&workspace](const auto &it) {
+        return it.upstream->workspace == workspace && !it.upstream->is_closed();
+    });
+}
+
 void instance_pool::refuse_waiting(acquire_failure reason)
 {
     auto refused = std::move(waiting_);
@@ -160,30 +225,22 @@
         it.done(nullptr, reason);
 }
 
-instance_pool::connection instance_pool::pop_idle(const session::session_values *values)
+instance_pool::connection instance_pool::pop_idle(const connection_request &request)
 {
-    while (!idle_.empty()) {
-        auto chosen = idle_.end() - 1;
-        if (values) {
-            const auto same = std::find_if(idle_.begin(), idle_.end(), [values](const auto &it) {
-                return it.upstream->session_state.values() == *values;
-            });
-            if (same != idle_.end())
-                chosen = same;
-        }
-        auto out = chosen->upstream;
-        idle_.erase(chosen);
-        if (!out->is_closed())
-            return out;
+    std::erase_if(idle_, [](const auto &it) { return it.upstream->is_closed(); });
+    auto chosen = idle_.end();
+    for (auto it = idle_.begin(); it != idle_.end(); ++it) {
+        if (it->upstream->workspace != request.workspace)
+            continue;
+        chosen = it;
+        if (request.values && it->upstream->session_state.values() == *request.values)
+            break;
     }
-    return nullptr;
-}
-
-std::list<instance_pool::waiter>::iterator instance_pool::next_waiter()
-{
-    return std::min_element(waiting_.begin(), waiting_.end(), [](const auto &a, const auto &b) {
-        return a.request.priority < b.request.priority;
-    });
+    if (chosen == idle_.end())
+        return nullptr;
+    auto out = chosen->upstream;
+    idle_.erase(chosen);
+    return out;
 }
 
 void instance_pool::refuse_expired(time_point now)
@@ -206,7 +263,8 @@
     refuse_expired(now);
     std::vector<connection> idle_too_long;
     for (std::size_t n = 0; n < idle_.size(); ++n) {
-        if (now - idle_[n].since > idle_time)
+        const bool of_workspace = !idle_[n].upstream->workspace.empty();
+        if (now - idle_[n].since > (of_workspace ? workspace_idle_time : idle_time))
             idle_too_long.push_back(idle_[n].upstream);
     }
     for (const auto &it : idle_too_long) {
--- a/src/proxy/instance_pool.h
+++ b/src/proxy/instance_pool.h
@@ -29,12 +29,14 @@
     std::uint32_t priority = 0;                            ///< 0 is served first
     time_point deadline;                                   ///< refused if it still waits then
     std::shared_ptr<const session::session_values> values; ///< a connection that has these is preferred
+    std::string workspace = {}; ///< to which the connection must belong; empty: to the proxy itself
 };
 
 /**
  * Opens connections on demand, up to a limit, and keeps idle ones for later requests.
  *
- * A connection is used by one request at a time, which must release or drop it.
+ * A connection is used by one request at a time, which must release or drop it. It belongs to one workspace,
+ * whose name the instance was told when it was opened.
  */
 class instance_pool : public std::enable_shared_from_this<instance_pool>
 {
@@ -49,6 +51,9 @@
     static constexpr std::chrono::milliseconds longest_limit_delay{3200};
     /// An idle connection is closed after this time, so that other processes can open one.
     static constexpr std::chrono::milliseconds idle_time{3000};
+    /// The same for the connections of workspaces: many workspaces use a connection only now and then, and a
+    /// new one occupies a slot of the instance for longer than most statements.
+    static constexpr std::chrono::milliseconds workspace_idle_time{10000};
     /// Time-out of opening a connection, which usually takes 12 ms and the wait in the instance's queue.
     static constexpr std::chrono::milliseconds open_timeout{600};
 
@@ -120,8 +125,14 @@
     void serve_waiting();
     void refuse_expired(time_point now);
     void refuse_waiting(acquire_failure reason);
-    connection pop_idle(const session::session_values *values);
-    std::list<waiter>::iterator next_waiter();
+    connection pop_idle(const connection_request &request);
+    [[nodiscard]] bool has_idle(const std::string &workspace) const;
+    [[nodiscard]] std::size_t opening(const std::string &workspace) const;
+    /// Returns the waiting request to open a connection for, or none: each has one that is being opened.
+    [[nodiscard]] const waiter *next_to_open() const;
+    /// Closes the connection that is idle for longest and that no waiting request can use; returns false if
+    /// there is none.
+    bool close_unneeded();
 
     event_base *base_;
     upstream_target target_;
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -29,6 +29,9 @@
     milliseconds configuration_bound{3000}; ///< a change takes effect within this time of its acceptance
     milliseconds drain_bound{7000};         ///< a draining instance serves at least this long
     milliseconds shortest_store_lease{1000};
+    /// While the desired state is older than `revocation_bound`, callers' keys are not accepted.
+    bool strict_revocation = false;
+    milliseconds revocation_bound{5000};
 };
 
 } // namespace baobabport::proxy
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -62,6 +62,11 @@
 {
     environment_ = {base_,
                     &routes_,
+                    &keys_,
+                    [this] {
+                        const auto age = clock_type::now() - desired_state_.confirmed_at();
+                        return !settings_.strict_revocation || age <= settings_.revocation_bound;
+                    },
                     &metrics_,
                     &executor_,
                     [this](const auto &service) { return group_of(service); },
@@ -130,7 +135,10 @@
         return;
     log_event("desired_state_applied",
               {{"version", std::to_string(version)}, {"routes", std::to_string(routes)}});
+    keys_.apply(routes_.state());
     update_groups();
+    for (const auto &it : sessions())
+        it->check_key();
 }
 
 void proxy_task::apply(std::vector<directory::instance_record> records)
@@ -271,6 +279,8 @@
     settings_.shutdown_time = settings.shutdown_time;
     settings_.configuration_bound = settings.configuration_bound;
     settings_.drain_bound = settings.drain_bound;
+    settings_.strict_revocation = settings.strict_revocation;
+    settings_.revocation_bound = settings.revocation_bound;
     desired_state_.set_bound(settings.configuration_bound);
     instances_.set_drain_bound(settings.drain_bound);
     if (settings.store.text() != settings_.store.text()) {
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -104,6 +104,7 @@
     support::metrics metrics_;
     platform::metadata_client store_;
     directory::route_table routes_;
+    workspace::key_index keys_;
     directory::instance_directory instances_;
     desired_state_task desired_state_;
     instance_list_task instance_list_;
--- a/src/proxy/settings_file.cpp
+++ b/src/proxy/settings_file.cpp
@@ -51,6 +51,17 @@
         out = milliseconds(static_cast<std::int64_t>(value_ms));
 }
 
+/// Reads a truth value given as a string.
+void read_flag(support::json_fields &fields, const char *name, bool &out)
+{
+    std::string text;
+    fields.text(name, text, false);
+    if (text == "true" || text == "false")
+        out = text == "true";
+    else if (!text.empty())
+        fields.fail(name, '"' + text + '"', "\"true\" or \"false\"");
+}
+
 } // namespace
 
 std::optional<proxy_settings> read_proxy_settings(const std::string &text, std::string &reason)
@@ -84,6 +95,8 @@
     read_time(fields, "configuration_bound_ms", ms, out.configuration_bound);
     read_time(fields, "drain_bound_ms", ms, out.drain_bound);
     read_time(fields, "shortest_store_lease_ms", ms, out.shortest_store_lease);
+    read_time(fields, "revoke_ms", ms, out.revocation_bound);
+    read_flag(fields, "strict_revocation", out.strict_revocation);
     fields.finish();
     if (error) {
         error->line = support::line_of(text, error->path);
--- a/src/proxy/statement_execution.cpp
+++ b/src/proxy/statement_execution.cpp
@@ -118,8 +118,10 @@
 void statement_execution::run_on_new_connection()
 {
     const auto self = shared_from_this();
-    const connection_request wanted{
-        request_.priority, clock_type::now() + request_.wait_left, {self, &request_.values}};
+    const connection_request wanted{request_.priority,
+                                    clock_type::now() + request_.wait_left,
+                                    {self, &request_.values},
+                                    request_.workspace};
     pool_->acquire(wanted, [self](const auto &connection, auto reason) {
         if (!connection) {
             self->not_run(reason == acquire_failure::wait_expired ? "all connections are in use"
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -171,6 +171,7 @@
     execution_request.time_left = left(deadline_);
     execution_request.wait_left = left(slot_wait_until(sent_at_));
     execution_request.values = session_->values();
+    execution_request.workspace = request_.workspace;
     execution_request.prepared = request_.prepared;
     execution_request.id = request_.id;
     execution_request.text = request_.text;
@@ -426,6 +427,14 @@
          "the statement took longer than its route allows");
 }
 
+void statement_run::revoke()
+{
+    if (stage_ != stage::waiting)
+        return;
+    drop_transaction();
+    fail(answer_code::denied, "the key is no longer valid");
+}
+
 void statement_run::abandon()
 {
     abandoned_ = true;
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -56,6 +56,7 @@
     std::optional<session::prepared_statement> prepared; ///< of an `execute`
     std::shared_ptr<const directory::route> route;
     time_point arrived_at;
+    std::string workspace; ///< of the session; empty: none
 };
 
 /**
@@ -97,6 +98,9 @@
     /// Finishes the run with an error if its deadline has passed.
     void tick(time_point now);
 
+    /// Refuses the statement if it was not sent yet: the session's key was removed.
+    void revoke();
+
     /// Discards the result, since the caller has disconnected; `done` is not called any more.
     void abandon();
 
--- a/src/proxy/store_tasks.cpp
+++ b/src/proxy/store_tasks.cpp
@@ -165,7 +165,7 @@
         log_warning("desired_state_unreadable", {{"reason", reason}});
         return 0;
     }
-    value_ = value.size() <= max_passed_on ? value : std::string();
+    value_ = value.size() <= max_passed_on ? platform::without_keys(value) : std::string();
     const auto version = state->version;
     changed_(std::move(*state));
     return version;
--- a/src/proxy/store_tasks.h
+++ b/src/proxy/store_tasks.h
@@ -81,7 +81,8 @@
     /// Sets how to read the state from another process.
     void set_peer_read(peer_read read) { peer_read_ = std::move(read); }
 
-    /// Returns the value that was applied last, as it is in the store; empty: none, or it was too large.
+    /// Returns the value that was applied last, with hashes in place of keys; empty: none, or it was too
+    /// large.
     [[nodiscard]] const std::string &value() const { return value_; }
     /// A larger value, in bytes, is read from the store by each process: passing it on would occupy the link
     /// of a small VM for seconds.
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -91,6 +91,7 @@
     time_point deadline;
 
     std::uint64_t number = 0; ///< within its pool, for logs
+    std::string workspace;    ///< to which it belongs; empty: to the proxy itself
 
     session::connection_state session_state; ///< set up by the sessions that have used the connection
 
--- a/src/session/answer_code.h
+++ b/src/session/answer_code.h
@@ -21,6 +21,7 @@
     unknown_name,     ///< not run: no prepared statement of that name
     malformed,        ///< not run: not a valid statement here
     no_database,      ///< not run: no route for the database
+    denied,           ///< not run: the key identifies no workspace
 };
 
 /**
@@ -47,7 +48,7 @@
 [[nodiscard]] constexpr bool proves_not_run(answer_code code)
 {
     return guarantees_no_effect(code) || code == answer_code::unknown_name ||
-           code == answer_code::malformed || code == answer_code::no_database;
+           code == answer_code::malformed || code == answer_code::no_database || code == answer_code::denied;
 }
 
 } // namespace baobabport::session
