Tests of keys, and faults that they and the review showed

Change: tests of the record codec, the key index and sessions; the stand-in instance records the name of each statement's connection. Mended, each with a test: a list of tenants or keys of another type was taken for an empty or a short list (null denied every caller); any text after sha256: counted as a hash; a number in place of a key was quoted in the log; a transaction refused for an outdated state stayed open at its instance, and its COMMIT left the session in it; a statement that was sent when its key was removed, and did not run, was sent again; a session that began without workspaces went on after they came into force, also in a transaction under the name of the process. With strict revocation, a waiting statement is refused, too. A state that is too large to be passed on is recognized after its keys were replaced, which makes it longer.

--- a/src/platform/record_codec.cpp
+++ b/src/platform/record_codec.cpp
@@ -68,6 +68,7 @@
 }
 
 constexpr std::string_view hash_prefix = "sha256:";
+constexpr std::size_t hash_size = 64; // hex digits
 
 bool is_word(std::string_view text)
 {
@@ -75,11 +76,25 @@
            std::none_of(text.begin(), text.end(), [](unsigned char it) { return it <= ' ' || it == 0x7f; });
 }
 
+/// Returns true if a hash stands in place of the key; a key may begin with the same letters.
+bool is_hash(const std::string &key)
+{
+    return key.starts_with(hash_prefix) && key.size() == hash_prefix.size() + hash_size &&
+           key.find_first_not_of("0123456789abcdef", hash_prefix.size()) == std::string::npos;
+}
+
 std::string hash_of(const std::string &key)
 {
-    if (key.starts_with(hash_prefix))
-        return key.substr(hash_prefix.size());
-    return workspace::hash_of_key(key);
+    return is_hash(key) ? key.substr(hash_prefix.size()) : workspace::hash_of_key(key);
+}
+
+/// Returns the field's list; throws for other types, which iteration would take for an empty or a short list.
+const json &list_of(const json &fields, const char *name)
+{
+    const auto &value = fields.at(name);
+    if (!value.is_array())
+        throw std::runtime_error(std::string(name) + " is not a list");
+    return value;
 }
 
 /// Returns a count of operations; throws for negative and infinite ones and for other types.
@@ -98,7 +113,7 @@
     out.name = fields.at("name").get<std::string>();
     if (!is_word(out.name))
         throw std::runtime_error("a tenant's name is not a single word");
-    for (const auto &it : fields.at("api_keys")) {
+    for (const auto &it : list_of(fields, "api_keys")) {
         const auto key = it.get<std::string>();
         if (!is_word(key))
             throw std::runtime_error("a key of tenant " + out.name + " is not a word of 1 to " +
@@ -173,13 +188,17 @@
         for (const auto &it : body.at("backends"))
             out.services.push_back(read_service(it));
         if (body.contains("tenants"))
-            out.workspaces = read_workspaces(body.at("tenants"));
+            out.workspaces = read_workspaces(list_of(body, "tenants"));
         out.transaction_idle = milliseconds_of(body.at("limits"), "tx_idle_ms");
         return out;
     } catch (const json::parse_error &ec) {
         // Its text quotes the value, which holds keys.
         reason = "no JSON, at byte " + std::to_string(ec.byte);
         return std::nullopt;
+    } catch (const json::out_of_range &ec) {
+        constexpr int number_overflow = 406; // its text quotes the number, which may stand in place of a key
+        reason = ec.id == number_overflow ? "a number is too large" : ec.what();
+        return std::nullopt;
     } catch (const std::exception &ec) {
         reason = ec.what();
         return std::nullopt;
--- a/src/proxy/caller_task.cpp
+++ b/src/proxy/caller_task.cpp
@@ -20,12 +20,6 @@
 using session::statement_kind;
 using session::transaction_state;
 
-namespace {
-
-constexpr const char *keys_outdated = "the desired state is too old to verify keys; retry in 1000 ms";
-
-} // namespace
-
 caller_task::caller_task(const session_environment &environment, int socket, std::uint64_t number,
                          std::function<void(std::uint64_t)> ended)
     : environment_(environment), number_(number), ended_(std::move(ended)),
@@ -146,96 +140,6 @@
     open_session();
 }
 
-void caller_task::open_session()
-{
-    awaits_routes_ = false;
-    const auto destination = route();
-    if (!destination) {
-        const bool loaded = environment_.routes->loaded();
-        return refuse_session(loaded ? answer_code::no_database : answer_code::busy,
-                              loaded ? "no route has this database" : "routes are not known yet");
-    }
-    if (environment_.keys->required() && !destination->is_public) {
-        if (!environment_.keys_are_current())
-            return refuse_session(answer_code::busy, keys_outdated);
-        const auto owner = environment_.keys->find(key_hash_);
-        if (!owner)
-            return refuse_session(answer_code::denied, "no workspace has this key");
-        workspace_ = owner->name;
-    }
-    phase_ = phase::ready;
-    std::string out;
-    platform::write_prompt(transaction_state::none, out);
-    reply(out);
-}
-
-void caller_task::refuse_session(answer_code code, const std::string &reason)
-{
-    support::log_event("session_refused", {{"database", database_},
-                                           {"code", std::string(platform::code_word(code))},
-                                           {"key_hash", workspace::short_hash(key_hash_)},
-                                           {"reason", reason},
-                                           {"version", std::to_string(environment_.routes->version())}});
-    environment_.metrics->count("baobabport_sessions_refused_total",
-                                support::label("reason", platform::code_word(code)));
-    std::string out;
-    platform::write_failure(code, reason, out);
-    reply(out);
-    close_after_write();
-}
-
-bool caller_task::admit(const directory::route &destination)
-{
-    const auto &keys = *environment_.keys;
-    if (!keys.required() || destination.is_public)
-        return true;
-    if (!environment_.keys_are_current()) {
-        failed_transaction_ = transaction_ != nullptr;
-        reply_failure(transaction_ ? answer_code::aborted : answer_code::busy, keys_outdated);
-        return false;
-    }
-    // A session that began without workspaces, or on a public route, has not been assigned to one yet.
-    if (workspace_.empty()) {
-        const auto owner = keys.find(key_hash_);
-        if (!owner) {
-            handle_denied();
-            return false;
-        }
-        workspace_ = owner->name;
-    }
-    return true;
-}
-
-void caller_task::check_key()
-{
-    if (phase_ != phase::ready || key_removed_ || workspace_.empty() || !socket_)
-        return;
-    const auto owner = environment_.keys->find(key_hash_);
-    const bool valid = owner ? owner->name == workspace_ : !environment_.keys->required();
-    if (valid)
-        return;
-    key_removed_ = true;
-    support::log_event("key_removed", {{"database", database_},
-                                       {"workspace", workspace_},
-                                       {"key_hash", workspace::short_hash(key_hash_)},
-                                       {"version", std::to_string(environment_.routes->version())}});
-    if (run_) {
-        const auto run = run_; // released when it finishes
-        run->revoke();
-    } else if (transaction_) {
-        end_transaction("the key was removed");
-    }
-    if (socket_ && idle())
-        close_after_write();
-}
-
-void caller_task::handle_denied()
-{
-    release_transaction();
-    reply_failure(answer_code::denied, "the key is not valid");
-    close_after_write();
-}
-
 void caller_task::handle_message(const session::statement_request &message)
 {
     if (phase_ != phase::ready) {
@@ -309,7 +213,7 @@
     const auto destination = route();
     if (!destination)
         return reply_failure(answer_code::no_database, "no route has this database");
-    if (!admit(*destination))
+    if (!admit(*destination, false))
         return;
     transaction_ = std::make_shared<transaction>();
     transaction_->route = destination;
@@ -346,7 +250,7 @@
     request.route = transaction_ ? transaction_->route : route();
     if (!request.route)
         return reply_failure(answer_code::no_database, "no route has this database");
-    if (!admit(*request.route))
+    if (!admit(*request.route, what.kind == statement_kind::commit))
         return;
     request.workspace = request.route->is_public ? std::string() : workspace_;
     if (what.kind == statement_kind::execute) {
@@ -403,6 +307,8 @@
         platform::write_success(result.receipt, out);
     platform::write_prompt(state(), out);
     reply(out);
+    if (key_removed_)
+        release_transaction(); // a caller that does not read its answer would keep it open
     if ((close_when_idle_ && idle()) || key_removed_)
         return close_after_write();
     process_lines();
@@ -466,6 +372,8 @@
     }
     if (run_) {
         const auto run = run_; // released when it finishes
+        if (run->needs_key() && !environment_.keys_are_current())
+            run->revoke(answer_code::busy, keys_outdated);
         run->tick(now);
         return;
     }
--- a/src/proxy/caller_task.h
+++ b/src/proxy/caller_task.h
@@ -73,6 +73,9 @@
     [[nodiscard]] bool idle() const { return !run_ && !transaction_; }
 
 private:
+    static constexpr const char *keys_outdated =
+        "the desired state is too old to verify keys; retry in 1000 ms";
+
     enum class phase : std::uint8_t
     {
         opening, ///< the caller has not named a database yet
@@ -91,8 +94,9 @@
     void handle_message(const session::open_session &message);
     void open_session();
     void refuse_session(session::answer_code code, const std::string &reason);
-    /// Returns false, with a reason, if the session's callers may not use the route at present.
-    bool admit(const directory::route &destination);
+    /// Returns true if the caller may use the route at present; otherwise it has been answered. `ends`: the
+    /// statement ends the transaction.
+    bool admit(const directory::route &destination, bool ends);
     void handle_denied();
     void handle_message(const session::statement_request &message);
     void answer_locally(const session::statement &what, const session::statement_request &message);
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -258,9 +258,7 @@
     stage_ = stage::waiting;
     if (answer.overloaded && ++overload_count_ >= (needs_primary() ? 1 : max_overloads))
         return refuse(answer.reason);
-    retry(answer.overloaded ? std::chrono::milliseconds(0)
-          : may_have_run    ? std::chrono::milliseconds(0)
-                            : busy_delay);
+    retry(answer.overloaded || may_have_run ? std::chrono::milliseconds(0) : busy_delay);
 }
 
 void statement_run::handle_error(const session::failure &error)
@@ -273,7 +271,6 @@
     if (error.code != answer_code::malformed && repeatable && (!transaction_ || first_of_transaction)) {
         if (error.code == answer_code::failed || error.code == answer_code::timed_out)
             group_->exclude_temporarily(instance_, clock_type::now());
-        stage_ = stage::waiting;
         retry(error.code == answer_code::busy ? busy_delay : std::chrono::milliseconds(0));
         return;
     }
@@ -337,7 +334,6 @@
             self->fail(answer_code::aborted, reason);
         else if (replaced) {
             self->result_ = {};
-            self->stage_ = stage::waiting;
             self->retry(std::chrono::milliseconds(0));
         } else
             self->fail(answer_code::timed_out, reason);
@@ -363,6 +359,8 @@
 void statement_run::retry(std::chrono::milliseconds delay)
 {
     stage_ = stage::waiting;
+    if (revoked_)
+        return refuse_revoked();
     if (attempts_ >= max_attempts || clock_type::now() >= deadline_) {
         refuse("no instance ran the statement");
         return;
@@ -427,12 +425,18 @@
          "the statement took longer than its route allows");
 }
 
-void statement_run::revoke()
+void statement_run::revoke(answer_code code, const std::string &text)
 {
-    if (stage_ != stage::waiting)
-        return;
+    revoked_ = session::failure{code, text};
+    if (stage_ == stage::waiting)
+        refuse_revoked();
+}
+
+void statement_run::refuse_revoked()
+{
+    const bool lost = transaction_ && transaction_->forwarded && revoked_->code == answer_code::busy;
     drop_transaction();
-    fail(answer_code::denied, "the key is no longer valid");
+    fail(lost ? answer_code::aborted : revoked_->code, revoked_->text);
 }
 
 void statement_run::abandon()
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -98,8 +98,12 @@
     /// Finishes the run with an error if its deadline has passed.
     void tick(time_point now);
 
-    /// Refuses the statement if it was not sent yet: the session's key was removed.
-    void revoke();
+    /// Refuses the statement with the code unless an instance has it at present; then it is not sent again.
+    /// `busy` becomes `aborted` where a transaction is lost.
+    void revoke(session::answer_code code, const std::string &text);
+
+    /// Returns true if its route needs a key.
+    [[nodiscard]] bool needs_key() const { return !request_.workspace.empty(); }
 
     /// Discards the result, since the caller has disconnected; `done` is not called any more.
     void abandon();
@@ -135,6 +139,7 @@
     void retry(std::chrono::milliseconds delay);
     void drop_transaction();
     void refuse(const std::string &reason);
+    void refuse_revoked();
     void fail(session::answer_code code, std::string text);
     void finish();
 
@@ -159,6 +164,7 @@
     time_point sent_at_;
     run_result result_;
     bool abandoned_ = false;
+    std::optional<session::failure> revoked_; ///< the answer in place of a further attempt
     std::unique_ptr<inner::timer> retry_timer_;
 };
 
--- a/src/proxy/store_tasks.cpp
+++ b/src/proxy/store_tasks.cpp
@@ -165,7 +165,9 @@
         log_warning("desired_state_unreadable", {{"reason", reason}});
         return 0;
     }
-    value_ = value.size() <= max_passed_on ? platform::without_keys(value) : std::string();
+    value_ = platform::without_keys(value); // may be longer than the value
+    if (value_.size() > max_passed_on)
+        value_.clear();
     const auto version = state->version;
     changed_(std::move(*state));
     return version;
--- a/standins/line_group.h
+++ b/standins/line_group.h
@@ -31,6 +31,7 @@
     bool in_transaction = false;
     std::uint64_t transaction = 0; ///< number of the instance's transaction; 0: outside any
     std::string shape;             ///< of an `EXECUTE`: kind and shape that were prepared under its name
+    std::string caller = {};       ///< the second word of its connection's `CONNECT`
 };
 
 /// Limits and timing of the instances of a group.
--- a/standins/line_instance.cpp
+++ b/standins/line_instance.cpp
@@ -38,6 +38,7 @@
     bufferevent *socket = nullptr;
     baobabport::platform::line_reader reader;
     bool open = false;
+    std::string caller; ///< the name under which the client opened it
     char state = 'I';
     bool read_only = false;
     std::uint64_t transaction = 0; ///< number of the transaction that began last
@@ -203,7 +204,7 @@
         return;
     if (word == "CONNECT") {
         const auto service = pop_word(rest);
-        pop_word(rest); // the client's name
+        from.caller = pop_word(rest);
         if (service != group_.service() || (!rest.empty() && rest != id_))
             return answer(from, "ERROR MOVED " + id_ + "\r\n");
         if (connections_.size() > group_.traits.max_connections)
@@ -293,7 +294,7 @@
     if (!primary && (word == "WRITE" || (in_transaction && !from.read_only)))
         return send_error(from, "READONLY");
     group_.ran.push_back({id_, from.number, id, text, from.values, in_transaction,
-                          in_transaction ? from.transaction : 0, shape});
+                          in_transaction ? from.transaction : 0, shape, from.caller});
     std::string rows;
     if (word == "READ") {
         const auto own_write = from.uncommitted_writes.find(rest);
--- a/tests/proxy/test_statement_run.cpp
+++ b/tests/proxy/test_statement_run.cpp
@@ -15,12 +15,13 @@
 
 namespace {
 
-/// A home process that answers when the test says so.
+/// A home process that answers when the test says so, and counts what it gets.
 struct scripted_home
 {
     scripted_home()
         : base(event_base_new()), executor{[](const auto &, const auto &) { return std::string("home"); },
                                            [this](const auto &, const inner::execute_request &, auto done) {
+                                               ++received;
                                                answer = std::move(done);
                                            },
                                            [this](const auto &vm, std::uint64_t transaction) {
@@ -33,6 +34,7 @@
     scripted_home &operator=(const scripted_home &) = delete;
 
     event_base *base;
+    int received = 0;
     proxy::local_executor::answer_hook answer; ///< to the last statement
     std::vector<std::pair<std::string, std::uint64_t>> ended;
     proxy::statement_executor executor;
@@ -51,6 +53,20 @@
     return out;
 }
 
+std::shared_ptr<proxy::statement_run> run_of(scripted_home &home, std::shared_ptr<proxy::group_task> group,
+                                             std::shared_ptr<proxy::transaction> transaction)
+{
+    proxy::run_request request;
+    request.id = "q1";
+    request.text = "READ x";
+    request.parsed = *session::parse_statement(request.text);
+    request.route = transaction ? transaction->route : std::make_shared<directory::route>();
+    request.arrived_at = clock_type::now();
+    return std::make_shared<proxy::statement_run>(home.base, &home.executor, request,
+                                                  std::make_shared<session::session_context>(),
+                                                  std::move(group), std::move(transaction));
+}
+
 } // namespace
 
 // Guards against transactions that stayed open after ABORTED, each with a connection and its writes.
@@ -60,14 +76,7 @@
     const auto group = std::make_shared<proxy::group_task>(home.base, home.executor,
                                                            proxy::group_identity{"db", "proxy", "erie"});
     const auto transaction = open_transaction(group);
-    proxy::run_request request;
-    request.id = "q1";
-    request.text = "READ x";
-    request.parsed = *session::parse_statement(request.text);
-    request.route = transaction->route;
-    request.arrived_at = clock_type::now();
-    const auto run = std::make_shared<proxy::statement_run>(
-        home.base, &home.executor, request, std::make_shared<session::session_context>(), group, transaction);
+    const auto run = run_of(home, group, transaction);
     std::optional<proxy::run_result> result;
     run->start([&result](auto it) { result = std::move(it); });
     REQUIRE(home.answer);
@@ -79,3 +88,41 @@
     CHECK(home.ended.front() == std::pair<std::string, std::uint64_t>("home", 7));
     CHECK(transaction->id == 0);
 }
+
+// Guards against a statement that waits for a primary and runs after its key was removed.
+TEST_CASE("a statement that was not sent is refused at once when its key is removed")
+{
+    scripted_home home;
+    const auto group = std::make_shared<proxy::group_task>(home.base, home.executor,
+                                                           proxy::group_identity{"db", "proxy", "erie"});
+    const auto run = run_of(home, group, nullptr);
+    std::optional<proxy::run_result> result;
+    run->start([&result](auto it) { result = std::move(it); });
+    REQUIRE_FALSE(result);
+    run->revoke(session::answer_code::denied, "removed");
+    REQUIRE(result);
+    CHECK(result->error->code == session::answer_code::denied);
+    CHECK(home.received == 0);
+}
+
+// Guards against a statement that was sent when its key was removed, did not run, and is sent once more.
+TEST_CASE("a statement whose key was removed after it was sent is answered, but not sent again")
+{
+    const auto code = GENERATE(session::answer_code::denied, session::answer_code::busy);
+    scripted_home home;
+    const auto group = std::make_shared<proxy::group_task>(home.base, home.executor,
+                                                           proxy::group_identity{"db", "proxy", "erie"});
+    const auto transaction = open_transaction(group);
+    transaction->forwarded = false;
+    const auto run = run_of(home, group, transaction);
+    std::optional<proxy::run_result> result;
+    run->start([&result](auto it) { result = std::move(it); });
+    REQUIRE(home.received == 1);
+    run->revoke(code, "removed");
+    REQUIRE_FALSE(result);
+    home.answer({inner::execute_outcome::not_run, "the connection was lost", false, {}, 0});
+    REQUIRE(result);
+    CHECK(result->error->code == code);
+    CHECK(home.received == 1);
+    CHECK(transaction->id == 0);
+}
--- a/tests/support/proxy_site.cpp
+++ b/tests/support/proxy_site.cpp
@@ -91,6 +91,7 @@
     out.data_centre = "erie";
     out.callers = free_address();
     out.probe = free_address();
+    out.admin = free_address();
     out.peers = free_address();
     out.store = settings_.store;
     out.promotion_orders = settings_.promotion_orders;
@@ -137,10 +138,10 @@
     return satisfied;
 }
 
-std::unique_ptr<test_caller> proxy_site::session(const std::string &database)
+std::unique_ptr<test_caller> proxy_site::session(const std::string &database, const std::string &key)
 {
     auto out = std::make_unique<test_caller>(base, callers());
-    out->send("CONNECT " + database + " tester\r\n");
+    out->send("CONNECT " + database + ' ' + key + "\r\n");
     run_until([&out] { return !out->lines.empty() || out->closed; });
     return out;
 }
@@ -157,17 +158,33 @@
     return out;
 }
 
-void proxy_site::configure(std::uint64_t version, const std::vector<std::string> &more)
+json proxy_site::state(std::uint64_t version, const std::vector<std::string> &more)
 {
     json routes =
         json::array({route("main", "primary"), route("old", "bounded"), route("own", "read_your_writes")});
     for (const auto &it : more)
         routes.push_back(route(it, "primary"));
-    const json state{{"version", version},
-                     {"routes", routes},
-                     {"backends", {{{"name", "db"}, {"max_connections", 16}, {"sync_replicas", 0}}}},
-                     {"limits", {{"tx_idle_ms", 300}}}};
-    store->put("op/config", state.dump());
+    return {{"version", version},
+            {"routes", routes},
+            {"backends", {{{"name", "db"}, {"max_connections", 16}, {"sync_replicas", 0}}}},
+            {"limits", {{"tx_idle_ms", 300}}}};
+}
+
+void proxy_site::configure(std::uint64_t version, const std::vector<std::string> &more)
+{
+    store->put("op/config", state(version, more).dump());
+}
+
+void proxy_site::configure_keys(std::uint64_t version,
+                                const std::map<std::string, std::vector<std::string>> &keys)
+{
+    auto body = state(version, {"open"});
+    body["routes"].back()["public"] = true;
+    body["tenants"] = json::array();
+    body["limits"]["tx_idle_ms"] = 5000; // longer than a test on a busy machine
+    for (const auto &[name, own] : keys)
+        body["tenants"].push_back({{"name", name}, {"api_keys", own}});
+    store->put("op/config", body.dump());
 }
 
 void proxy_site::register_instance(const std::string &id, const std::string &state)
@@ -186,6 +203,16 @@
     store->put("servers/" + id, record.dump());
 }
 
+std::string proxy_site::admin_page(const std::string &path)
+{
+    std::optional<std::string> out;
+    http::http_client client(base, *settings_.admin);
+    client.send({http::method_kind::get, path, {}, {}, std::chrono::milliseconds(1000)},
+                [&out](const auto &answer) { out = answer.body; });
+    run_until([&out] { return out.has_value(); });
+    return out.value_or("");
+}
+
 int proxy_site::ready_status()
 {
     int out = 0;
--- a/tests/support/proxy_site.h
+++ b/tests/support/proxy_site.h
@@ -8,7 +8,9 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -62,14 +64,16 @@
     /// Runs the loop until the condition holds; returns false if it does not within 20 s.
     bool run_until(const std::function<bool()> &condition);
 
-    /// Opens a session and waits for the first answer or its end.
-    std::unique_ptr<test_caller> session(const std::string &database);
+    /// Opens a session with the key and waits for the first answer or its end.
+    std::unique_ptr<test_caller> session(const std::string &database, const std::string &key = "tester");
 
     /// Sends a statement, waits, and returns the lines of the answer joined by `|`.
     std::string ask(test_caller &from, const std::string &text);
 
     /// Stores a desired state with the three standard databases and these additional ones.
     void configure(std::uint64_t version, const std::vector<std::string> &more = {});
+    /// Stores a desired state whose workspaces have these keys; its route `open` needs none.
+    void configure_keys(std::uint64_t version, const std::map<std::string, std::vector<std::string>> &keys);
     void register_instance(const std::string &id, const std::string &state = "ready");
 
     /// Returns the settings for another process of this site.
@@ -84,6 +88,8 @@
     [[nodiscard]] const baobabport::proxy::proxy_settings &settings() const { return settings_; }
     [[nodiscard]] baobabport::support::address callers() const { return settings_.callers; }
     [[nodiscard]] int ready_status();
+    /// Returns the page of the operators' address.
+    [[nodiscard]] std::string admin_page(const std::string &path);
 
     event_base *base;
     standin::line_group group;
@@ -94,6 +100,8 @@
     bool stopped = false;
 
 private:
+    [[nodiscard]] static nlohmann::json state(std::uint64_t version, const std::vector<std::string> &more);
+
     baobabport::proxy::proxy_settings settings_;
     std::uint64_t last_id_ = 0;
 };
