The soak has workspaces, and checks whose keys are served

Cause: no run with faults had keys, which are given away, moved and removed while sessions are open.

An answer that is lost while nothing is disturbed is reported outside planned stops, too.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -27,8 +27,8 @@
 
 bool guarantees_no_effect(const std::string &code)
 {
-    static const std::array<const char *, 6> codes = {"BUSY",     "ABORTED", "LAGGING",
-                                                      "READONLY", "MOVED",   "MAXCONN"};
+    static const std::array<const char *, 7> codes = {"BUSY",  "ABORTED", "LAGGING", "READONLY",
+                                                      "MOVED", "MAXCONN", "DENIED"};
     for (const auto *const it : codes) {
         if (code == it)
             return true;
@@ -49,10 +49,10 @@
 } // namespace
 
 caller::caller(event_base *base, ledger &writes, statement_account &account,
-               const std::vector<entry_point> &entries, std::string name, std::string service,
-               std::uint64_t seed)
-    : base_(base), writes_(writes), entries_(entries), name_(std::move(name)), service_(std::move(service)),
-      random_(seed), pause_(base, [this] { socket_ ? next() : connect(); }),
+               const std::vector<entry_point> &entries, caller_keys keys, std::string name,
+               std::string service, std::uint64_t seed)
+    : base_(base), writes_(writes), entries_(entries), keys_(std::move(keys)), name_(std::move(name)),
+      service_(std::move(service)), random_(seed), pause_(base, [this] { socket_ ? next() : connect(); }),
       answer_timer_(base, [this] { close(false); }), session_(account, name_)
 {
     pause_.start(milliseconds(random(100)));
@@ -69,8 +69,9 @@
     if (stopping_)
         return;
     entry_ = random(entries_.size());
-    const std::array<const char *, 3> kinds = {"main", "own", "old"};
-    route_ = kinds.at(random(kinds.size()));
+    route_ = keys_.routes.at(random(keys_.routes.size()));
+    key_ = keys_.pick();
+    connected_at_ = std::chrono::steady_clock::now();
     reader_ = {};
     session_.begin();
     begin_new_items(); // an earlier session's writes do not count for this session's read-your-writes
@@ -86,11 +87,12 @@
     bufferevent_enable(socket_, EV_READ | EV_WRITE);
     const auto to = support::to_sockaddr(entries_[entry_].at);
     bufferevent_socket_connect(socket_, reinterpret_cast<const sockaddr *>(&to), sizeof(to));
-    const auto hello = "CONNECT " + route_ + service_ + ' ' + name_ + "\r\n";
+    const auto hello = "CONNECT " + route_ + service_ + ' ' + key_ + "\r\n";
     bufferevent_write(socket_, hello.data(), hello.size());
     on_answer_ = [this](const auto &code, const auto &) {
         if (!code.empty())
             return close(false);
+        check_admission(true);
         send_statement("SET tag " + name_, [this](const auto &failed, const auto &) {
             failed.empty() ? pause_.start(milliseconds(0)) : close(false);
         });
@@ -98,14 +100,25 @@
     answer_timer_.start(answer_timeout);
 }
 
+void caller::check_admission(bool admitted)
+{
+    const bool quiet = entries_[entry_].undisturbed();
+    const auto wrong = route_ != "open" ? keys_.account->check_admission(key_, admitted, connected_at_, quiet)
+                       : admitted       ? std::string()
+                                        : "denied on a public route";
+    if (!wrong.empty())
+        writes_.violation(name_ + " on " + route_ + ": " + wrong);
+}
+
 void caller::close(bool by_peer)
 {
     const auto &entry = entries_[entry_];
-    const bool closed_in_planned_stop = by_peer && on_answer_ && statements_ > 0 && entry.stops_as_planned();
+    // A process that stops, and one that learns of the removal of a key, answer what they have sent before.
+    const bool closed_as_planned = by_peer && on_answer_ && statements_ > 0 && entry.undisturbed();
     const auto waited = std::chrono::steady_clock::now() - sent_at_;
-    if (closed_in_planned_stop && (waited > lost_grace_period || entry.has_run(last_id_)))
+    if (closed_as_planned && (waited > lost_grace_period || entry.has_run(last_id_)))
         writes_.violation(name_ + " lost its session without an answer to " + last_id_ +
-                          " in a planned stop");
+                          ", with nothing disturbed");
     answer_timer_.stop();
     if (socket_)
         bufferevent_free(socket_);
@@ -140,8 +153,11 @@
             if (auto hook = std::exchange(on_answer_, {}))
                 hook(std::exchange(code_, {}), std::exchange(row_, {}));
         }
-        if (kind == "ERROR" && statements_ == 0)
+        if (kind == "ERROR" && statements_ == 0) {
+            if (code_ == "DENIED")
+                check_admission(false);
             return close(false); // the session was rejected
+        }
     }
 }
 
@@ -156,6 +172,7 @@
     last_id_ = name_ + '-' + std::to_string(statements_) + '.' + std::to_string(random_());
     sent_at_ = std::chrono::steady_clock::now();
     session_.record_sent(last_id_, text);
+    keys_.account->record_sent(last_id_, key_, route_ == "open");
     const auto line = "QUERY " + last_id_ + ' ' + text + "\r\n";
     bufferevent_write(socket_, line.data(), line.size());
     answer_timer_.start(answer_timeout);
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -7,6 +7,7 @@
 #include "platform/line_codec.h"
 #include "session_record.h"
 #include "support/address.h"
+#include "workspace_account.h"
 
 #include <functional>
 #include <random>
@@ -22,12 +23,20 @@
 struct entry_point
 {
     baobabport::support::address at;
-    /// Returns true while the process shuts down as planned and no fault has been active recently.
-    std::function<bool()> stops_as_planned;
+    /// Returns true while no fault is active or has been active recently; processes may shut down as planned.
+    std::function<bool()> undisturbed;
     /// Returns true if an instance has run the statement with this id.
     std::function<bool(const std::string &id)> has_run;
 };
 
+/// The keys that callers present.
+struct caller_keys
+{
+    workspace_account *account = nullptr;
+    std::function<std::string()> pick; ///< returns the key of a new session
+    std::vector<std::string> routes;   ///< `main`, `own`, `old` and, needing no key, `open`
+};
+
 /**
  * Has one session at a time, with a random process. Each caller writes only its own items and sets its own
  * tag as a session value. Other values and the names of prepared statements collide with those of other
@@ -37,7 +46,7 @@
 {
 public:
     caller(event_base *base, ledger &writes, statement_account &account,
-           const std::vector<entry_point> &entries, std::string name, std::string service,
+           const std::vector<entry_point> &entries, caller_keys keys, std::string name, std::string service,
            std::uint64_t seed);
     ~caller();
     caller(const caller &) = delete;
@@ -57,6 +66,7 @@
 
     void connect();
     void close(bool by_peer);
+    void check_admission(bool admitted);
     void read_lines();
     void next();
     void send_statement(const std::string &text, answer_hook done);
@@ -77,6 +87,9 @@
     event_base *base_;
     ledger &writes_;
     const std::vector<entry_point> &entries_;
+    caller_keys keys_;
+    std::string key_; ///< of the present session
+    time_point connected_at_;
     std::string name_;
     std::string service_;
     std::mt19937_64 random_;
--- a/soak/peer_switch.cpp
+++ b/soak/peer_switch.cpp
@@ -52,6 +52,7 @@
     it->listening_address = listening_address;
     it->public_address = testing::free_address();
     it->connections = std::make_unique<relay>(base_, it->public_address, listening_address);
+    it->connections->observe = [this](const auto &bytes) { observe(bytes); };
     it->socket = socket(AF_INET, SOCK_DGRAM, 0);
     const auto address = support::to_sockaddr(it->public_address);
     if (it->socket < 0 || evutil_make_socket_nonblocking(it->socket) != 0 ||
@@ -80,6 +81,7 @@
     if (n < 0 || sender == ports_by_listening_address_.end() || to.disconnected ||
         sender->second->disconnected)
         return;
+    observe(buf.substr(0, static_cast<std::size_t>(n)));
     const auto target = support::to_sockaddr(to.listening_address);
     sendto(sender->second->socket, buf.data(), static_cast<std::size_t>(n), 0,
            reinterpret_cast<const sockaddr *>(&target), sizeof(target));
--- a/soak/peer_switch.h
+++ b/soak/peer_switch.h
@@ -5,6 +5,7 @@
 #include "relay.h"
 #include "support/address.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -36,6 +37,9 @@
     void disconnect(const std::string &process);
     void reconnect(const std::string &process);
 
+    /// Called with each datagram and each chunk of a connection.
+    std::function<void(const std::string &)> observe = [](const auto &) {};
+
 private:
     struct port;
 
--- a/soak/relay.cpp
+++ b/soak/relay.cpp
@@ -94,6 +94,8 @@
         return;
     if (to_target && rewrite)
         rewrite(bytes);
+    if (observe)
+        observe(bytes);
     if (faults.delay.count() == 0 && it.delayed.empty()) {
         bufferevent_write(to, bytes.data(), bytes.size());
         return;
--- a/soak/relay.h
+++ b/soak/relay.h
@@ -46,6 +46,9 @@
     /// default.
     std::function<void(std::string &)> rewrite;
 
+    /// Called with each chunk of bytes that is forwarded in either direction; empty by default.
+    std::function<void(const std::string &)> observe;
+
     relay_faults faults;
 
 private:
--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -13,7 +13,7 @@
     R"(Runs random faults against real proxy processes and checks the answers that callers receive.
 
 Usage:
-  baobabport-soak --program FILE [--folder DIR] [--first N] [--seeds N] [--processes N] [--callers N] [--seconds N] [--verbose]
+  baobabport-soak --program FILE [--folder DIR] [--first N] [--seeds N] [--processes N] [--callers N] [--seconds N] [--quotas] [--verbose]
   baobabport-soak (-h | --help)
 
 Options:
@@ -24,6 +24,7 @@
   --processes N   Proxy processes in each seed [default: 4].
   --callers N     Callers, with one session each at a time [default: 12].
   --seconds N     Time with faults in each seed [default: 12].
+  --quotas        Check the workspaces' quotas.
   --verbose       Print the events of every seed, not only of those with violations.
   -h --help       Show this text.
 
@@ -38,8 +39,9 @@
     const auto &violations = site.run();
     std::cout << "seed " << options.seed << ": " << site.write_ledger().acknowledged()
               << " writes acknowledged, " << site.write_ledger().reads() << " reads, "
-              << site.orders().orders() << " orders of " << site.orders().generations() << " generations, "
-              << violations.size() << " broken" << std::endl;
+              << site.statements_with_key() << " statements with keys, " << site.orders().orders()
+              << " orders of " << site.orders().generations() << " generations, " << violations.size()
+              << " broken" << std::endl;
     if (!violations.empty() || verbose) {
         for (const auto &it : site.events())
             std::cout << "  " << it << '\n';
@@ -65,6 +67,7 @@
         options.processes = number("--processes");
         options.callers = number("--callers");
         options.faults_for = std::chrono::seconds(number("--seconds"));
+        options.quotas = args["--quotas"].asBool();
         options.program = std::filesystem::absolute(args["--program"].asString());
         options.folder = args["--folder"].asString() + "/seed-" + std::to_string(seed);
         try {
--- a/soak/soak_site.cpp
+++ b/soak/soak_site.cpp
@@ -31,6 +31,7 @@
 /// Every caller must be served within this time after the last fault; the bound on the users' sites.
 constexpr milliseconds recovery_bound{12000};
 constexpr milliseconds state_request_interval{400};
+constexpr const char *process_prefix = "front-";
 const std::vector<std::string> services = {"db0", "db1"};
 
 json route(const std::string &database, const std::string &kind, const std::string &service)
@@ -58,7 +59,8 @@
 } // namespace
 
 soak_site::soak_site(const soak_options &options)
-    : options_(options), random_(options.seed), base_(event_base_new()),
+    : options_(options), random_(options.seed), base_(event_base_new()), plan_(random_),
+      keys_({strict_revocation(), options.quotas, process_prefix}),
       begun_at_(std::chrono::steady_clock::now()), peers_(base_)
 {
     writes_.on_violation = [this](const auto &text) { log_event("BROKEN " + text); };
@@ -70,8 +72,12 @@
     make_groups();
     configure();
     make_proxies();
+    peers_.observe = [this](const auto &bytes) { check_for_keys(bytes, "a message between processes"); };
+    caller_keys keys{&keys_, [this] { return plan_.pick_key(); }, {"main", "own", "old"}};
+    if (has_workspaces())
+        keys.routes.emplace_back("open");
     for (std::size_t n = 0; n < options_.callers; ++n)
-        callers_.push_back(std::make_unique<caller>(base_, writes_, account_, entries_,
+        callers_.push_back(std::make_unique<caller>(base_, writes_, account_, entries_, keys,
                                                     "s" + std::to_string(n), services[n % services.size()],
                                                     random_()));
 }
@@ -132,14 +138,21 @@
         routes.push_back(route("main" + it, "primary", it));
         routes.push_back(route("own" + it, "read_your_writes", it));
         routes.push_back(route("old" + it, "bounded", it));
+        if (has_workspaces()) {
+            routes.push_back(route("open" + it, "primary", it));
+            routes.back()["public"] = true;
+        }
         backends.push_back({{"name", it}, {"max_connections", 40}, {"sync_replicas", 0}});
     }
     version_ += 1 + random(3);
     version_at_ = std::chrono::steady_clock::now();
-    const json state{{"version", version_},
-                     {"routes", routes},
-                     {"backends", backends},
-                     {"limits", {{"tx_idle_ms", 1000}}}};
+    json state{{"version", version_},
+               {"routes", routes},
+               {"backends", backends},
+               {"limits", {{"tx_idle_ms", 1000}}}};
+    if (has_workspaces())
+        state["tenants"] = plan_.tenants();
+    keys_.record_state(has_workspaces() ? std::optional(plan_.state()) : std::nullopt, version_at_);
     store_->put("op/config", state.dump());
 }
 
@@ -147,7 +160,7 @@
 {
     for (std::size_t n = 0; n < options_.processes; ++n) {
         auto it = std::make_unique<proxy_process>();
-        it->name = "front-" + std::to_string(n + 1);
+        it->name = process_prefix + std::to_string(n + 1);
         it->settings = options_.folder + '/' + it->name + ".json";
         it->callers = testing::free_address();
         it->admin = testing::free_address();
@@ -173,10 +186,12 @@
                                             {"shutdown_s", std::to_string(shutdown_time.count() / 1000)},
                                             {"configuration_bound_ms",
                                              std::to_string(configuration_bound.count())},
-                                            {"drain_bound_ms", std::to_string(drain_bound.count())}}
+                                            {"drain_bound_ms", std::to_string(drain_bound.count())},
+                                            {"strict_revocation", strict_revocation() ? "true" : "false"},
+                                            {"revoke_ms",
+                                             std::to_string(workspace_account::revocation_bound.count())}}
                                            .dump(2);
-        proxy_process *const raw = it.get();
-        entries_.push_back({it->callers, [this, raw] { return raw->stopping && quiescent(); },
+        entries_.push_back({it->callers, [this] { return quiescent(); },
                             [this](const auto &id) {
                                 check_statements();
                                 return ran_.count(id) > 0;
@@ -237,9 +252,12 @@
     faults_on_ = false;
     end_faults();
     check_recovery();
+    if (has_workspaces())
+        check_final_removal();
     for (auto &it : callers_)
         it->stop();
     run_for(milliseconds(500));
+    check_logs();
     for (const auto &[service, group] : groups_) {
         const standin::line_instance *newest = nullptr;
         for (const auto &id : group->ids()) {
@@ -268,6 +286,11 @@
         next_fault_at_ = now + milliseconds(100 + random(max_pause_ms));
         next_fault();
     }
+    if (faults_on_ && has_workspaces() && now >= next_key_change_at_) {
+        // Some times are longer than the bound of a change, so that this is checked, too.
+        next_key_change_at_ = now + random_time(milliseconds(500), 2 * configuration_bound);
+        change_keys();
+    }
 }
 
 void soak_site::check_proxies()
@@ -297,6 +320,8 @@
             ran_.insert(it.id);
             for (const auto &text : account_.check(it))
                 writes_.violation(text);
+            for (const auto &text : keys_.check(it, now, quiescent()))
+                writes_.violation(text);
             const auto who = it.id.substr(0, it.id.find('-'));
             const auto tag = it.values.find("tag");
             if (tag == it.values.end() || tag->second != who)
@@ -355,6 +380,7 @@
                 if (answer.status != 200 || !state.is_object() || raw->started_at != incarnation)
                     return;
                 raw->has_reported_state = true;
+                check_for_keys(answer.body, "the state of " + raw->name);
                 const auto seen = state.value("desired_state_version", std::uint64_t{0});
                 if (seen < raw->newest_version_seen)
                     writes_.violation(raw->name + " went back to version " + std::to_string(seen));
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -13,6 +13,8 @@
 #include "peer_switch.h"
 #include "relay.h"
 #include "statement_account.h"
+#include "workspace_account.h"
+#include "workspace_plan.h"
 
 #include <atomic>
 #include <functional>
@@ -35,6 +37,7 @@
     std::chrono::milliseconds faults_for{12000};
     std::string program; ///< path of the proxy
     std::string folder;  ///< for settings and logs of the processes
+    bool quotas = false; ///< check the workspaces' quotas
 };
 
 /// Set by a signal to end the run early and terminate its processes.
@@ -42,7 +45,8 @@
 
 /**
  * Runs one seed. Faults overlap; every third seed has only planned work (shutdowns, drains, configuration
- * changes), so that the stricter guarantees for it are checked, too.
+ * changes), so that the stricter guarantees for it are checked, too. Every fourth seed has no workspaces; of
+ * the others, every second one has strict revocation.
  */
 class soak_site
 {
@@ -56,6 +60,7 @@
     const std::vector<std::string> &run();
 
     [[nodiscard]] const ledger &write_ledger() const { return writes_; }
+    [[nodiscard]] std::size_t statements_with_key() const { return keys_.statements_with_key(); }
     [[nodiscard]] const order_ledger &orders() const { return orders_; }
     [[nodiscard]] const std::vector<std::string> &events() const { return events_; }
 
@@ -102,6 +107,14 @@
     void tick();
     void check_proxies();
     void check_statements();
+    void change_keys();
+    /// Reports a text that the processes wrote or sent and that holds a key.
+    void check_for_keys(const std::string &text, const std::string &where);
+    void check_logs();
+    /// Replaces all keys, and runs until the former ones must be without effect.
+    void check_final_removal();
+    [[nodiscard]] bool has_workspaces() const;
+    [[nodiscard]] bool strict_revocation() const { return options_.seed % 2 == 0; }
     void record_leadership();
     void mark_disturbed(const proxy_process &it);
     int handle_order(const promotion_order &order);
@@ -144,6 +157,8 @@
     event_base *base_;
     ledger writes_;
     statement_account account_;
+    workspace_plan plan_;
+    workspace_account keys_;
     order_ledger orders_{[this](const auto &text) { writes_.violation(text); }};
     std::vector<std::string> events_;
     time_point begun_at_;
@@ -164,6 +179,7 @@
     bool store_unavailable_ = false; ///< an outage for all processes, possibly longer than a short fault
     bool faults_on_ = false;
     time_point next_fault_at_;
+    time_point next_key_change_at_;
     time_point leader_fault_until_;
     time_point next_state_request_at_;
 };
