A read is offered to each instance before it is refused

A read ended as refused after two homes had found their queues too long, although a third instance was up, and a read that two instances shed went back to a queue in which it had just waited: it was refused after 0.75 of the target plus a second wait.

`routing::offer_history` keeps the offers of a read in rounds. The next instance is asked at once after a shed or failed offer, each once in a round; a round follows after 12 ms as before. An instance whose queue is too long, or that has had no connection in all the time for it, is not asked again, and the read is refused as soon as this holds for each. After a refusal, an offer may wait 25 ms beyond the share of the target, in place of 30% of the target.

--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -1,4 +1,4 @@
-// Selection of an instance, attempts and retries, and classification of their answers.
+// Selection of an instance, attempts, and classification of their answers.
 
 #include "proxy/statement_run.h"
 
@@ -15,15 +15,11 @@
 using session::answer_code;
 using session::statement_kind;
 
-namespace {
-
-std::chrono::milliseconds share_of(std::chrono::milliseconds time, double share)
+std::chrono::milliseconds statement_run::share_of(std::chrono::milliseconds time, double share)
 {
     return std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * share));
 }
 
-} // namespace
-
 statement_run::statement_run(event_base *base, statement_executor *executor, run_request request,
                              std::shared_ptr<session::session_context> session,
                              std::shared_ptr<group_task> group, std::shared_ptr<transaction> open_transaction)
@@ -140,18 +136,25 @@
             }
             self->floor_ = self->read_floor();
             self->at_primary_ = false;
-            const auto pool = self->group_->choose_for_read({self->floor_, self->tried_}, clock_type::now());
-            if (!pool) {
-                self->tried_.clear();
-                self->retry(busy_delay);
-                return;
-            }
-            const auto instance = pool->target().instance;
-            self->tried_.insert(instance);
-            self->send(self->executor_->home_of(instance, self->group_->data_centre_of(instance)), instance);
+            self->offer_to_reader();
         });
 }
 
+void statement_run::offer_to_reader()
+{
+    const auto pool = group_->choose_for_read({floor_, offers_.excluded()}, clock_type::now());
+    if (!pool) {
+        if (offers_.start_round())
+            retry(busy_delay);
+        else
+            refuse(overload_reason_);
+        return;
+    }
+    const auto instance = pool->target().instance;
+    offers_.record_offer(instance);
+    send(executor_->home_of(instance, group_->data_centre_of(instance)), instance);
+}
+
 void statement_run::send(const std::string &vm, const std::string &instance)
 {
     vm_ = vm;
@@ -159,6 +162,7 @@
     stage_ = stage::sent;
     ++attempts_;
     sent_at_ = clock_type::now();
+    slot_wait_until_ = slot_wait_until(sent_at_);
     const auto left = [this](time_point until) {
         return std::max(std::chrono::milliseconds(1),
                         std::chrono::duration_cast<std::chrono::milliseconds>(until - sent_at_));
@@ -169,7 +173,7 @@
     execution_request.priority = request_.route->priority;
     execution_request.label = request_.route->name + (request_.writes ? "/w" : "/r");
     execution_request.time_left = left(deadline_);
-    execution_request.wait_left = left(slot_wait_until(sent_at_));
+    execution_request.wait_left = left(slot_wait_until_);
     execution_request.values = session_->values();
     execution_request.workspace = request_.workspace;
     execution_request.prepared = request_.prepared;
@@ -241,58 +245,6 @@
                                                     {"detail", detail}});
 }
 
-void statement_run::handle_loss(const inner::execute_answer &answer)
-{
-    log_failed_attempt(answer.outcome == inner::execute_outcome::lost ? "may have run" : "not run",
-                       answer.reason);
-    const bool may_have_run = answer.outcome == inner::execute_outcome::lost;
-    if (may_have_run)
-        group_->exclude_temporarily(instance_, clock_type::now());
-    if (transaction_ && (transaction_->forwarded || is_commit())) {
-        if (is_commit() && may_have_run && transaction_->wrote)
-            return fail(answer_code::in_doubt, "the answer to the commit was lost: " + answer.reason);
-        return fail(answer_code::aborted, answer.reason);
-    }
-    if (may_have_run && request_.writes && !transaction_)
-        return fail(answer_code::in_doubt, "the answer to the write was lost: " + answer.reason);
-    stage_ = stage::waiting;
-    if (answer.overloaded && ++overload_count_ >= (needs_primary() ? 1 : max_overloads))
-        return refuse(answer.reason);
-    retry(answer.overloaded ? std::chrono::milliseconds(0)
-          : may_have_run    ? std::chrono::milliseconds(0)
-                            : busy_delay);
-}
-
-void statement_run::handle_error(const session::failure &error)
-{
-    log_failed_attempt("error", std::string(platform::code_word(error.code)) + ' ' + error.text);
-    if (error.code == answer_code::read_only && at_primary_)
-        group_->reject_primary(instance_);
-    const bool first_of_transaction = transaction_ && !transaction_->forwarded;
-    const bool repeatable = session::proves_not_run(error.code) || (!request_.writes && !is_commit());
-    if (error.code != answer_code::malformed && repeatable && (!transaction_ || first_of_transaction)) {
-        if (error.code == answer_code::failed || error.code == answer_code::timed_out)
-            group_->exclude_temporarily(instance_, clock_type::now());
-        stage_ = stage::waiting;
-        retry(error.code == answer_code::busy ? busy_delay : std::chrono::milliseconds(0));
-        return;
-    }
-    if (!transaction_)
-        return fail(error.code, error.text);
-    if (is_commit() && transaction_->wrote && !session::proves_not_run(error.code))
-        return fail(answer_code::in_doubt, error.text);
-    fail(error.code == answer_code::malformed ? error.code : answer_code::aborted, error.text);
-}
-
-void statement_run::handle_cut(const session::failure &error)
-{
-    log_failed_attempt("error", error.text);
-    // The statement has run, and every instance's answer would be too long.
-    if (changes_data())
-        return fail(answer_code::in_doubt, error.text);
-    fail(transaction_ && !is_commit() ? answer_code::aborted : error.code, error.text);
-}
-
 void statement_run::handle_success(const session::statement_answer &answer)
 {
     result_.rows = answer.rows;
@@ -344,51 +296,6 @@
     });
 }
 
-time_point statement_run::slot_wait_until(time_point now) const
-{
-    const auto target = request_.route->target_latency;
-    const auto by_target = request_.arrived_at + share_of(target, slot_wait_share);
-    const auto at_least = attempts_ > 1 ? now + share_of(target, retry_wait_share) : now;
-    return std::min(deadline_, std::max(by_target, at_least));
-}
-
-void statement_run::drop_transaction()
-{
-    if (!transaction_ || transaction_->id == 0)
-        return;
-    executor_->end_transaction(transaction_->vm, transaction_->id);
-    transaction_->id = 0;
-}
-
-void statement_run::retry(std::chrono::milliseconds delay)
-{
-    stage_ = stage::waiting;
-    if (attempts_ >= max_attempts || clock_type::now() >= deadline_) {
-        refuse("no instance ran the statement");
-        return;
-    }
-    if (clock_type::now() >= wait_limit_ && attempts_ == 0) {
-        refuse("no instance took the statement");
-        return;
-    }
-    drop_transaction(); // it is open at the instance and home process of the last attempt
-    if (attempts_ > 0)
-        wait_limit_ = deadline_; // applies to the wait for a primary or a floor; slots have their own limit
-    retry_timer_ = std::make_unique<inner::timer>(base_, [self = shared_from_this()] {
-        if (self->stage_ == stage::waiting && !self->abandoned_)
-            self->choose();
-    });
-    retry_timer_->start(delay);
-}
-
-void statement_run::refuse(const std::string &reason)
-{
-    // No part of the statement has run, except possibly a read.
-    constexpr const char *retry_hint = "; retry in 100 ms";
-    fail(transaction_ && transaction_->forwarded ? answer_code::aborted : answer_code::busy,
-         reason + retry_hint);
-}
-
 void statement_run::fail(answer_code code, std::string text)
 {
     result_ = {};
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -6,6 +6,7 @@
 #include "directory/desired_state.h"
 #include "proxy/group_task.h"
 #include "proxy/local_executor.h"
+#include "routing/offer_history.h"
 #include "session/messages.h"
 #include "session/session_context.h"
 #include "session/statement.h"
@@ -13,7 +14,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace baobabport::proxy {
@@ -76,16 +76,16 @@
     /// Fraction of the target latency that a statement may wait for a slot. A later answer is of little use,
     /// and a longer wait only delays other statements.
     static constexpr double slot_wait_share = 0.75;
-    /// Minimum wait for a slot that a retry is allowed, as a fraction of the target latency.
+    /// Minimum wait for a slot that a retry after a failure is allowed, as a fraction of the target latency.
     static constexpr double retry_wait_share = 0.3;
+    /// Minimum wait that a retry after a refusal is allowed: a connection is opened, or one statement ends.
+    static constexpr std::chrono::milliseconds refused_retry_wait{25};
     /// A floor is refreshed at this fraction of the age at which reads could no longer use it.
     static constexpr double floor_refresh_share = 0.75;
     /// Subtracted from a route's maximum staleness: time between a read's first byte and its arrival here.
     static constexpr std::chrono::milliseconds staleness_margin{150};
     /// Back-off delay after an instance was busy; about the duration of one statement.
     static constexpr std::chrono::milliseconds busy_delay{12};
-    /// A read is refused after this many instances were too busy for it.
-    static constexpr int max_overloads = 2;
     /// Maximum number of times that one statement is sent to an instance.
     static constexpr int max_attempts = 8;
 
@@ -113,6 +113,7 @@
         finished,
     };
 
+    [[nodiscard]] static std::chrono::milliseconds share_of(std::chrono::milliseconds time, double share);
     [[nodiscard]] bool needs_primary() const;
     [[nodiscard]] bool is_commit() const;
     [[nodiscard]] bool changes_data() const;
@@ -122,6 +123,7 @@
     void choose();
     void choose_primary();
     void choose_reader();
+    void offer_to_reader();
     void send(const std::string &vm, const std::string &instance);
     void handle_answer(const inner::execute_answer &answer);
     void log_failed_attempt(const char *outcome, const std::string &detail) const;
@@ -133,6 +135,7 @@
     void confirm(time_point since);
     [[nodiscard]] time_point slot_wait_until(time_point now) const;
     void retry(std::chrono::milliseconds delay);
+    void handle_overload(const std::string &reason);
     void drop_transaction();
     void refuse(const std::string &reason);
     void fail(session::answer_code code, std::string text);
@@ -149,10 +152,12 @@
     time_point deadline_;
     time_point wait_limit_;
     int attempts_ = 0;
-    int overload_count_ = 0;
-    std::set<std::string> tried_;
-    std::string vm_;       ///< VM of the home process of `instance_`; empty: this process
-    std::string instance_; ///< that the last attempt was sent to
+    routing::offer_history offers_; ///< of a read to instances
+    bool refused_ = false;          ///< the last attempt was shed, or found a queue that was too long
+    std::string overload_reason_;   ///< of the last instance whose queue was too long
+    time_point slot_wait_until_;    ///< of the last attempt
+    std::string vm_;                ///< VM of the home process of `instance_`; empty: this process
+    std::string instance_;          ///< that the last attempt was sent to
     std::uint64_t term_ = 0;
     bool at_primary_ = false;
     std::optional<position> floor_;
--- a/tests/proxy/test_statement_run.cpp
+++ b/tests/proxy/test_statement_run.cpp
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 #include <event2/event.h>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -19,13 +21,15 @@
 struct scripted_home
 {
     scripted_home()
-        : base(event_base_new()), executor{[](const auto &, const auto &) { return std::string("home"); },
-                                           [this](const auto &, const inner::execute_request &, auto done) {
-                                               answer = std::move(done);
-                                           },
-                                           [this](const auto &vm, std::uint64_t transaction) {
-                                               ended.emplace_back(vm, transaction);
-                                           }}
+        : base(event_base_new()), executor{
+                                      [](const auto &, const auto &) { return std::string("home"); },
+                                      [this](const auto &, const inner::execute_request &request, auto done) {
+                                          asked.push_back(request.instance);
+                                          answer = std::move(done);
+                                      },
+                                      [this](const auto &vm, std::uint64_t transaction) {
+                                          ended.emplace_back(vm, transaction);
+                                      }}
     {
     }
     ~scripted_home() { event_base_free(base); }
@@ -34,6 +38,7 @@
 
     event_base *base;
     proxy::local_executor::answer_hook answer; ///< to the last statement
+    std::vector<std::string> asked;            ///< the instance of each statement
     std::vector<std::pair<std::string, std::uint64_t>> ended;
     proxy::statement_executor executor;
 };
@@ -51,6 +56,61 @@
     return out;
 }
 
+/// A group of three instances whose primary is known, and a read that any of them may serve.
+struct read_of_three
+{
+    read_of_three()
+    {
+        std::vector<directory::instance_record> records;
+        for (const auto *const id : {"i-1", "i-2", "i-3"}) {
+            directory::instance_record it;
+            it.id = id;
+            it.data_centre = "erie";
+            records.push_back(it);
+        }
+        group->set_members(records, 8);
+        const auto now = clock_type::now();
+        group->handle_lease({"db", "i-1", 1, {1, 10}, milliseconds(0), true}, now);
+        auto route = std::make_shared<directory::route>();
+        route->kind = directory::route_kind::bounded;
+        route->max_staleness = milliseconds(1500);
+        route->statement_timeout = milliseconds(2000);
+        route->target_latency = milliseconds(500);
+        proxy::run_request request;
+        request.id = "q1";
+        request.text = "READ x";
+        request.parsed = *session::parse_statement(request.text);
+        request.route = route;
+        request.arrived_at = now;
+        run = std::make_shared<proxy::statement_run>(
+            home.base, &home.executor, request, std::make_shared<session::session_context>(), group, nullptr);
+        run->start([this](auto it) { result = std::move(it); });
+    }
+
+    /// Answers the last statement, and runs a retry that is due.
+    void answer(const inner::execute_answer &it)
+    {
+        home.answer(it);
+        event_base_loop(home.base, EVLOOP_NONBLOCK);
+    }
+
+    scripted_home home;
+    std::shared_ptr<proxy::group_task> group = std::make_shared<proxy::group_task>(
+        home.base, home.executor, proxy::group_identity{"db", "proxy", "erie"});
+    std::shared_ptr<proxy::statement_run> run;
+    std::optional<proxy::run_result> result;
+};
+
+inner::execute_answer shed()
+{
+    inner::execute_answer out{inner::execute_outcome::answered, {}, false, {}, 0};
+    out.answer.error = session::failure{session::answer_code::busy, "busy"};
+    return out;
+}
+
+const inner::execute_answer overloaded{
+    inner::execute_outcome::not_run, "the instance is busy for 900 ms", true, {}, 0};
+
 } // namespace
 
 // Guards against transactions that stayed open after ABORTED, each with a connection and its writes.
@@ -79,3 +139,32 @@
     CHECK(home.ended.front() == std::pair<std::string, std::uint64_t>("home", 7));
     CHECK(transaction->id == 0);
 }
+
+// Guards against reads that were refused, with most of their time left, because two instances shed them.
+TEST_CASE("a read that two instances shed is offered to the third at once")
+{
+    read_of_three it;
+    it.answer(shed());
+    it.answer(shed());
+    REQUIRE_FALSE(it.result);
+    REQUIRE(it.home.asked.size() == 3);
+    CHECK(std::set<std::string>(it.home.asked.begin(), it.home.asked.end()).size() == 3);
+    it.answer({inner::execute_outcome::answered, {}, false, {}, 0});
+    REQUIRE(it.result);
+    CHECK_FALSE(it.result->error);
+}
+
+// Guards against refusals that come late, after more waits in queues that are known to be too long.
+TEST_CASE("a read that each instance's home finds overloaded is refused at once")
+{
+    read_of_three it;
+    it.answer(overloaded);
+    it.answer(overloaded);
+    REQUIRE_FALSE(it.result);
+    it.answer(overloaded);
+    REQUIRE(it.result);
+    CHECK(it.home.asked.size() == 3);
+    REQUIRE(it.result->error);
+    CHECK(it.result->error->code == session::answer_code::busy);
+    CHECK(it.result->error->text == "the instance is busy for 900 ms; retry in 100 ms");
+}
