Instances that serve worse than the others of their service get no reads for a time

A failed instance was excluded for 500 ms at a time, and one that sheds a part of its statements while its health answers are good was not excluded at all.

`routing::outlier_detector` judges each instance by the answers to this VM's statements: the share of bad answers in a window and those in a row, beside the best of the other instances. Refusals by a home, and losses for which the home is to blame, are no evidence. The exclusion of 500 ms remains for single failures. An ejected instance is the last choice, not a forbidden one.

In the test of an instance that sheds 45%, its reads fall from a third to under a tenth with 50 reads per second of a VM, and to under a fifth with 2 per second.

--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -36,6 +36,7 @@
         known.pool->set_limit(limit);
         known.pool->set_slots(it.slots);
     }
+    outliers_.set_instances(present);
     for (auto it = members_.begin(); it != members_.end();) {
         if (present.count(it->first)) {
             ++it;
@@ -51,6 +52,7 @@
 void group_task::member_restarted(const std::string &id)
 {
     state_.erase_instance(id);
+    outliers_.record_restart(id, clock_type::now());
     const auto it = members_.find(id);
     if (it == members_.end())
         return;
@@ -131,6 +133,7 @@
     constexpr double other_data_centre_cost = 2.0;
     constexpr double behind_cost = 8.0; // an instance whose log is behind the floor rejects the read
     constexpr double excluded_cost = 20.0;
+    constexpr double ejected_cost = 40.0; // above all others together
     constexpr double draining_cost = 10.0;
     constexpr double primary_cost = 1.0; // the primary also runs the writes, which no replica can run
     std::shared_ptr<instance_pool> best;
@@ -146,6 +149,8 @@
             cost += behind_cost;
         if (now < it.excluded_until || !it.pool->reachable(now))
             cost += excluded_cost;
+        if (!outliers_.admits(id, it.in_flight, now))
+            cost += ejected_cost;
         if (it.record.state == directory::instance_state::draining)
             cost += draining_cost;
         if (state_.primary() == id)
@@ -268,6 +273,14 @@
     search_primary(clock_type::now());
 }
 
+void group_task::judge(const std::string &id, bool good, time_point now)
+{
+    const bool was_ejected = outliers_.is_ejected(id, now);
+    outliers_.record_answer(id, good, now);
+    if (!was_ejected && outliers_.is_ejected(id, now))
+        log_event("instance_ejected", {{"service", identity_.service}, {"instance", id}});
+}
+
 void group_task::exclude_temporarily(const std::string &id, time_point now)
 {
     const auto it = members_.find(id);
--- a/src/proxy/group_task.h
+++ b/src/proxy/group_task.h
@@ -9,6 +9,7 @@
 #include "proxy/instance_pool.h"
 #include "proxy/local_executor.h"
 #include "replication/group_state.h"
+#include "routing/outlier_detector.h"
 
 #include <functional>
 #include <list>
@@ -62,7 +63,8 @@
 class group_task
 {
 public:
-    /// An instance that failed is excluded from reads for this long; a few detection intervals.
+    /// An instance that failed is excluded from reads for this long; a few detection intervals. Further
+    /// failures are the outlier detector's concern.
     static constexpr std::chrono::milliseconds exclusion_period{500};
     /// An instance whose log was behind the floor is tried again after this time: it may have caught up.
     static constexpr std::chrono::milliseconds behind_retry_delay{250};
@@ -135,6 +137,14 @@
     void record_returned(const std::string &id);
     [[nodiscard]] std::string data_centre_of(const std::string &id) const;
 
+    /// Records whether an answer of the instance to a caller's statement, or the lack of one, speaks for it.
+    void judge(const std::string &id, bool good, time_point now);
+    /// Returns true while the instance gets no reads, since it serves worse than the others.
+    [[nodiscard]] bool is_ejected(const std::string &id, time_point now) const
+    {
+        return outliers_.is_ejected(id, now);
+    }
+
     /// Returns the time since the last answer of the instance to any request.
     [[nodiscard]] std::chrono::milliseconds time_since_answer(const std::string &id, time_point now) const;
 
@@ -213,6 +223,7 @@
     const statement_executor &executor_;
     group_identity identity_;
     replication::group_state state_;
+    routing::outlier_detector outliers_;
     std::map<std::string, member> members_;
     std::list<waiting_confirmation> confirmations_;
     std::list<condition_waiter> conditions_;
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -329,6 +329,9 @@
         metrics_.set("baobabport_group_has_primary", labels, group->state().primary() ? 1 : 0);
         metrics_.set("baobabport_waiting_confirmations", labels,
                      static_cast<double>(group->waiting_confirmations()));
+        for (const auto &it : group->snapshot(now).members)
+            metrics_.set("baobabport_instance_ejected", support::label("instance", it.id),
+                         group->is_ejected(it.id, now) ? 1 : 0);
     }
 }
 
@@ -344,7 +347,10 @@
     for (const auto &[name, group] : groups_) {
         json members = json::array();
         for (const auto &it : group->snapshot(clock_type::now()).members)
-            members.push_back({{"instance", it.id}, {"leaving", it.leaving}, {"refuses", it.refuses}});
+            members.push_back({{"instance", it.id},
+                               {"leaving", it.leaving},
+                               {"refuses", it.refuses},
+                               {"ejected", group->is_ejected(it.id, clock_type::now())}});
         out["groups"].push_back({{"service", name},
                                  {"primary", group->state().primary().value_or("")},
                                  {"term", group->state().term()},
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -160,6 +160,7 @@
     vm_ = vm;
     instance_ = instance;
     stage_ = stage::sent;
+    judged_ = false;
     ++attempts_;
     sent_at_ = clock_type::now();
     slot_wait_until_ = slot_wait_until(sent_at_);
@@ -202,6 +203,7 @@
 {
     if (answer.outcome == inner::execute_outcome::answered)
         group_->record_answer(instance_, answer.answer.end, sent_at_);
+    judge_instance(answer);
     if (stage_ != stage::sent || abandoned_) {
         handle_late_answer(answer);
         return;
@@ -320,6 +322,10 @@
 {
     if (stage_ == stage::finished || now < deadline_)
         return;
+    if (stage_ == stage::sent && home_is_used()) {
+        group_->judge(instance_, false, now);
+        judged_ = true;
+    }
     const bool may_have_run = stage_ != stage::waiting;
     if (!may_have_run)
         return refuse("no instance took the statement in its time");
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -126,6 +126,8 @@
     void offer_to_reader();
     void send(const std::string &vm, const std::string &instance);
     void handle_answer(const inner::execute_answer &answer);
+    void judge_instance(const inner::execute_answer &answer);
+    [[nodiscard]] bool home_is_used() const;
     void log_failed_attempt(const char *outcome, const std::string &detail) const;
     void handle_late_answer(const inner::execute_answer &answer);
     void handle_loss(const inner::execute_answer &answer);
@@ -162,6 +164,7 @@
     bool at_primary_ = false;
     std::optional<position> floor_;
     time_point sent_at_;
+    bool judged_ = false; ///< the group knows whether the last attempt speaks for its instance
     run_result result_;
     bool abandoned_ = false;
     std::unique_ptr<inner::timer> retry_timer_;
--- a/src/proxy/statement_run_retry.cpp
+++ b/src/proxy/statement_run_retry.cpp
@@ -5,6 +5,7 @@
 #include "support/boot_clock.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace baobabport::proxy {
@@ -12,6 +13,52 @@
 using clock_type = support::boot_clock;
 using session::answer_code;
 
+namespace {
+
+/// Returns whether the error speaks for its instance, or none if it says nothing about it.
+std::optional<bool> judge(answer_code code)
+{
+    switch (code) {
+    case answer_code::busy:
+    case answer_code::timed_out:
+    case answer_code::failed:
+        return false;
+    case answer_code::malformed:
+    case answer_code::unknown_name:
+        return true;
+    default:
+        return std::nullopt; // of its role, its log, or all processes' connections
+    }
+}
+
+} // namespace
+
+bool statement_run::home_is_used() const
+{
+    return executor_->home_of(instance_, group_->data_centre_of(instance_)) == vm_;
+}
+
+void statement_run::judge_instance(const inner::execute_answer &answer)
+{
+    if (judged_)
+        return;
+    judged_ = true;
+    std::optional<bool> good;
+    const auto now = clock_type::now();
+    if (answer.outcome == inner::execute_outcome::answered) {
+        good = answer.answer.error ? judge(answer.answer.error->code) : true;
+    } else {
+        // After a failure of its own, the home is not used for some time.
+        const bool waited = answer.overloaded || now >= slot_wait_until_;
+        const bool lost = answer.outcome == inner::execute_outcome::lost;
+        const bool in_transaction = transaction_ && transaction_->forwarded;
+        if (home_is_used() && (lost || (!waited && !in_transaction)))
+            good = false;
+    }
+    if (good)
+        group_->judge(instance_, *good, now);
+}
+
 void statement_run::handle_loss(const inner::execute_answer &answer)
 {
     log_failed_attempt(answer.outcome == inner::execute_outcome::lost ? "may have run" : "not run",
