Answer a refused SET once, bound prepared names, drop connections after UNKNOWN

Cause: an instance that refused a SET with READONLY cost eight connections for one statement, since the statement was repeated each time. The names of prepared statements on a connection were not bounded. After UNKNOWN only the name was forgotten, though the instance may have lost the connection's values, too.

After UNKNOWN the connection is closed. The setup of a connection moves to a source file of its own.

--- a/src/platform/line_codec.cpp
+++ b/src/platform/line_codec.cpp
@@ -282,6 +282,11 @@
     return "PREPARE " + it.name + (it.prepared.writes ? " WRITE " : " READ ") + it.prepared.shape;
 }
 
+std::string close_text(const std::string &name)
+{
+    return "CLOSE " + name;
+}
+
 std::string rollback_text()
 {
     return "ROLLBACK";
--- a/src/platform/line_codec.h
+++ b/src/platform/line_codec.h
@@ -78,6 +78,7 @@
                                                         std::string_view new_name);
 [[nodiscard]] std::string set_text(const std::string &name, const std::string &value);
 [[nodiscard]] std::string prepare_text(const session::named_statement &it);
+[[nodiscard]] std::string close_text(const std::string &name);
 [[nodiscard]] std::string rollback_text();
 [[nodiscard]] std::string reset_text();
 [[nodiscard]] std::string status_text();
--- a/src/proxy/statement_execution.cpp
+++ b/src/proxy/statement_execution.cpp
@@ -1,4 +1,5 @@
-// Steps of a statement's execution, and what each failure means for the statement and its connection.
+// Steps of a statement's execution but the setup of its connection, and what each failure means for the
+// statement and its connection.
 
 #include "proxy/statement_execution.h"
 
@@ -16,21 +17,6 @@
 using inner::execute_outcome;
 using session::transaction_state;
 
-namespace {
-
-/// Returns why a statement that prepares a connection failed; empty if it succeeded.
-std::string preparation_failure(const char *what, const std::optional<session::statement_answer> &answer)
-{
-    if (!answer)
-        return "the connection was lost";
-    if (!answer->error)
-        return {};
-    return std::string(what) + " got " + std::string(platform::code_word(answer->error->code)) + ' ' +
-           answer->error->text;
-}
-
-} // namespace
-
 void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it)
 {
     if (it->is_closed())
@@ -144,85 +130,6 @@
     prepare();
 }
 
-void statement_execution::prepare()
-{
-    auto &it = *connection_;
-    it.deadline = deadline_;
-    struct progress
-    {
-        int outstanding = 1; ///< outstanding answers, and 1 until this function has sent all its statements
-        std::string failure; ///< of the first statement that failed; empty: none
-        std::optional<session::statement_answer> refused_shape;
-    };
-    const auto state = std::make_shared<progress>();
-    const auto one_done = [self = shared_from_this(), state](const std::string &failure) {
-        if (state->failure.empty())
-            state->failure = failure;
-        if (--state->outstanding > 0)
-            return;
-        if (!state->failure.empty()) {
-            self->fail_connection(execute_outcome::not_run,
-                                  "the connection could not be prepared: " + state->failure);
-        } else if (state->refused_shape) {
-            self->connection_->session_state.forget(*self->request_.prepared);
-            self->handle_answer(state->refused_shape);
-        } else
-            self->begin();
-    };
-    const auto send = [&it, state, one_done](const char *what, const std::string &text) {
-        ++state->outstanding;
-        it.send(platform::own_statement_id, text,
-                [one_done, what](const auto &answer) { one_done(preparation_failure(what, answer)); });
-    };
-    const auto send_shape = [&it, state, one_done](const std::string &text) {
-        ++state->outstanding;
-        it.send(platform::own_statement_id, text, [state, one_done](const auto &answer) {
-            // Another instance would refuse it, too.
-            if (answer && answer->error && answer->error->code == session::answer_code::malformed) {
-                state->refused_shape = answer;
-                one_done({});
-            } else
-                one_done(preparation_failure("prepared statement", answer));
-        });
-    };
-    if (request_.id == platform::own_statement_id) { // needs no session state
-        one_done({});
-        return;
-    }
-    const auto setup =
-        it.session_state.require(request_.values, request_.prepared, it.state() != transaction_state::none);
-    if (setup.reset)
-        send("reset", platform::reset_text());
-    for (const auto &[name, value] : setup.values)
-        send("session value", platform::set_text(name, value));
-    if (setup.prepare) {
-        const auto text = platform::prepare_text(*setup.prepare);
-        too_long_ = !platform::statement_fits(platform::own_statement_id, text);
-        if (too_long_)
-            it.session_state.forget(*request_.prepared);
-        else
-            send_shape(text);
-    }
-    too_long_ = too_long_ || !platform::statement_fits(request_.id, statement_text());
-    if (!setup.empty())
-        log_setup(setup);
-    one_done({});
-}
-
-void statement_execution::log_setup(const session::connection_setup &setup) const
-{
-    constexpr std::size_t shape_bytes = 64;
-    const auto &prepare = setup.prepare;
-    support::log_routine("connection_prepared",
-                         {{"id", request_.id},
-                          {"instance", request_.instance},
-                          {"connection", std::to_string(connection_->number)},
-                          {"reset", setup.reset ? "yes" : "no"},
-                          {"values", std::to_string(setup.values.size())},
-                          {"prepared", prepare ? prepare->name : ""},
-                          {"shape", prepare ? prepare->prepared.shape.substr(0, shape_bytes) : ""}});
-}
-
 void statement_execution::begin()
 {
     if (too_long_) {
@@ -282,15 +189,19 @@
         fail_connection(execute_outcome::lost, "the connection was lost");
         return;
     }
+    inner::execute_answer out{execute_outcome::answered, {}, false, *answer, 0};
     if (answer->error && answer->error->code == session::answer_code::unknown_name && request_.prepared) {
+        // What else the instance has lost of the connection's state is not known.
         support::log_warning("prepared_statement_unknown",
                              {{"id", request_.id},
                               {"instance", request_.instance},
                               {"connection", std::to_string(connection_->number)},
                               {"prepared", connection_->session_state.name_of(*request_.prepared)}});
-        connection_->session_state.forget(*request_.prepared);
+        state_->transactions.erase(request_.transaction);
+        pool_->drop(connection_);
+        finish(out);
+        return;
     }
-    inner::execute_answer out{execute_outcome::answered, {}, false, *answer, 0};
     const bool open = answer->end.state == transaction_state::open;
     if (open && (request_.begin != begin_mode::none || request_.transaction != 0)) {
         out.transaction = request_.transaction != 0 ? request_.transaction : ++state_->last_transaction;
--- a/standins/line_instance.cpp
+++ b/standins/line_instance.cpp
@@ -127,6 +127,13 @@
         it.second->prepared.clear();
 }
 
+void line_instance::forget_session_state()
+{
+    forget_prepared();
+    for (const auto &it : connections_)
+        it.second->values.clear();
+}
+
 void line_instance::restart(bool as_primary)
 {
     if (!crashed())
@@ -168,6 +175,14 @@
                                                   [](const auto &it) { return it.second->state != 'I'; }));
 }
 
+std::size_t line_instance::prepared_statements() const
+{
+    std::size_t out = 0;
+    for (const auto &it : connections_)
+        out += it.second->prepared.size();
+    return out;
+}
+
 void line_instance::accept(int socket)
 {
     auto it = std::make_unique<connection>();
@@ -340,6 +355,9 @@
             shape == group_.refused_shape)
             return send_error(from, "MALFORMED");
         from.prepared[name] = words;
+    } else if (word == "CLOSE") {
+        if (from.prepared.erase(words) == 0)
+            return send_error(from, "UNKNOWN");
     } else if (word == "RESET") {
         from.values.clear();
         from.prepared.clear();
--- a/standins/line_instance.h
+++ b/standins/line_instance.h
@@ -51,6 +51,9 @@
     /// Forgets the prepared statements of all connections.
     void forget_prepared();
 
+    /// Forgets the prepared statements and the values of all connections.
+    void forget_session_state();
+
     /// Listens again at the same address with the same log, as primary or as replica.
     void restart(bool as_primary);
 
@@ -60,6 +63,7 @@
     /// Replaces the log by that of a primary and applies it after the lag.
     void receive_log(const std::vector<log_entry> &from);
     [[nodiscard]] std::size_t open_transactions() const;
+    [[nodiscard]] std::size_t prepared_statements() const; ///< of all connections
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
     [[nodiscard]] baobabport::consistency::position received() const
     {
--- a/tests/proxy/test_statement_execution.cpp
+++ b/tests/proxy/test_statement_execution.cpp
@@ -173,3 +173,53 @@
     CHECK(succeeded(home.execute("3", "READ x")));
     CHECK(home.group->at("i-1").open_transactions() == 0);
 }
+
+// Guards against the loss of eight connections for one statement: each repetition got the same refusal.
+TEST_CASE("a value that an instance refuses is answered once and costs no connection")
+{
+    answering_home home;
+    REQUIRE(succeeded(home.execute("1", "READ x", {}, {{"zone", "erie"}})));
+    home.group->refused_value = "zone";
+    for (int n = 0; n < 2; ++n) {
+        const auto refused = home.execute("2", "READ x", {}, {{"zone", "huron"}});
+        REQUIRE(refused.answer.error);
+        CHECK(refused.answer.error->code == session::answer_code::malformed);
+        CHECK(refused.answer.error->text.find("READONLY") != std::string::npos);
+    }
+    REQUIRE(succeeded(home.execute("3", "READ x")));
+    CHECK(home.group->ran.size() == 2); // the refused ones did not run
+    CHECK(home.group->ran.back().connection == home.group->ran.front().connection);
+    CHECK(home.group->ran.back().values.empty()); // nor the former value, which the instance still had
+}
+
+// Guards against a statement that runs without its session's values: an instance that has lost the prepared
+// statements of a connection may have lost its values, too.
+TEST_CASE("a connection whose instance does not know a prepared statement is closed")
+{
+    answering_home home;
+    const prepared_statement prepared{true, "q1"};
+    const session::session_values values{{"zone", "erie"}};
+    REQUIRE(succeeded(home.execute("1", "EXECUTE w_q1 x 1", prepared, values)));
+    home.group->at("i-1").forget_session_state();
+    const auto unknown = home.execute("2", "EXECUTE w_q1 x 1", prepared, values);
+    REQUIRE(unknown.answer.error);
+    CHECK(unknown.answer.error->code == session::answer_code::unknown_name);
+    REQUIRE(succeeded(home.execute("3", "READ x", {}, values)));
+    CHECK(home.group->ran.back().values == values);
+}
+
+// Guards against a home and an instance that keep every shape that a connection has ever run.
+TEST_CASE("the prepared statements of a connection are bounded, and the instance forgets the others")
+{
+    answering_home home;
+    const auto execute = [&home](std::size_t n) {
+        const auto shape = "q" + std::to_string(n);
+        return home.execute("1", "EXECUTE r_" + shape + " x", prepared_statement{false, shape});
+    };
+    constexpr auto bound = session::connection_state::max_names;
+    for (std::size_t n = 0; n < bound + 10; ++n)
+        REQUIRE(succeeded(execute(n)));
+    CHECK(home.group->at("i-1").prepared_statements() == bound);
+    CHECK(succeeded(execute(0))); // prepared again
+    CHECK(home.group->at("i-1").connections() == 1);
+}
--- a/tests/session/test_connection_state.cpp
+++ b/tests/session/test_connection_state.cpp
@@ -32,6 +32,8 @@
             values.clear();
             prepared.clear();
         }
+        for (const auto &name : setup.close)
+            REQUIRE(prepared.erase(name) == 1);
         for (const auto &[name, value] : setup.values)
             store(platform::set_text(name, value), "SET ", values);
         if (setup.prepare)
