Allocate the connections of workspaces by a module without a network

Cause: 74 workspaces compete for 39 connections to an instance. The pool closed the one idle for longest, gave all up after 10 s, let statements wait for a connection until their limit, and stood still while idle transactions held all.

Change: connection_allocation keeps the account of a pool's connections and decides which serves, is opened, closed or waited for, and who is refused at once, as overloaded. Connections of workspaces stay open at the home while it is asked for them. One connection is left to the proxy's own statements. After MAXCONN, idle connections are replaced during the back-off. While all are in use, the transaction idle for longest beyond a third of the limit is rolled back.

--- a/src/admission/slot_scheduler.h
+++ b/src/admission/slot_scheduler.h
@@ -62,6 +62,12 @@
     /// Returns how long a new statement of the priority would wait.
     [[nodiscard]] std::chrono::microseconds expected_wait(std::uint32_t priority, time_point now) const;
 
+    /// Returns how long a statement with the label is expected to take.
+    [[nodiscard]] std::chrono::microseconds expected_duration(const std::string &label) const
+    {
+        return estimator_.expected(label);
+    }
+
     [[nodiscard]] std::size_t running() const { return running_.size(); }
     [[nodiscard]] std::size_t waiting() const { return queue_.length(); }
 
--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -98,11 +98,16 @@
             it.excluded_until = clock_type::now() + exclusion_period;
         });
     };
-    return std::make_shared<instance_pool>(
+    auto pool = std::make_shared<instance_pool>(
         base_,
         upstream_target{
             .at = record.at, .service = identity_.service, .instance = record.id, .caller = identity_.caller},
         limit, std::move(health));
+    pool->set_home_check([weak, id = record.id] {
+        const auto self = weak.lock();
+        return self && (*self)->executor_.home_of(id, (*self)->data_centre_of(id)).empty();
+    });
+    return pool;
 }
 
 std::shared_ptr<instance_pool> group_task::primary_pool() const
--- a/src/proxy/instance_pool.cpp
+++ b/src/proxy/instance_pool.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace baobabport::proxy {
 
@@ -14,7 +15,7 @@
 
 instance_pool::instance_pool(event_base *base, upstream_target target, std::uint32_t limit,
                              health_hooks health)
-    : base_(base), target_(std::move(target)), limit_(limit), health_(std::move(health))
+    : base_(base), target_(std::move(target)), health_(std::move(health)), allocation_(limit)
 {
 }
 
@@ -24,6 +25,11 @@
         it->abandon();
 }
 
+time_point instance_pool::now()
+{
+    return clock_type::now();
+}
+
 instance_pool::request_id instance_pool::acquire(const connection_request &request, acquire_hook done)
 {
     const auto id = ++last_request_id_;
@@ -40,12 +46,13 @@
             return id;
         }
     }
-    if (all_.empty() && !reachable(clock_type::now())) {
+    if (all_.empty() && !reachable(now())) {
         done(nullptr, acquire_failure::unreachable);
         return id;
     }
     waiting_.push_back({id, request, std::move(done)});
     open_for_waiting();
+    refuse_hopeless(now());
     return id;
 }
 
@@ -62,32 +69,48 @@
         drop(it);
         return;
     }
-    idle_.push_back({it, clock_type::now()});
+    allocation_.released(it->number, now());
     serve_waiting();
     open_for_waiting(); // it may be closed in favour of another workspace
 }
 
 void instance_pool::drop(const connection &it)
 {
-    const auto found = std::find(all_.begin(), all_.end(), it);
+    const bool known = find(it->number) == it;
     it->abandon();
-    if (found == all_.end())
+    if (!known)
         return;
-    all_.erase(found);
+    remove(it);
     open_for_waiting();
 }
 
-std::size_t instance_pool::opening() const
+void instance_pool::rest(const connection &it, time_point may_end_at)
+{
+    allocation_.rested(it->number, may_end_at);
+}
+
+void instance_pool::resume(const connection &it)
+{
+    allocation_.taken(it->number, std::nullopt, now());
+}
+
+admission::connection_outlook instance_pool::outlook(const std::string &workspace, std::size_t waiting,
+                                                     time_point now) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(all_.begin(), all_.end(), [](const auto &it) { return !it->is_open(); }));
+    return allocation_.outlook(workspace, waiting, now);
 }
 
-std::size_t instance_pool::opening(const std::string &workspace) const
+instance_pool::connection instance_pool::find(std::uint64_t number) const
 {
-    return static_cast<std::size_t>(std::count_if(all_.begin(), all_.end(), [&workspace](const auto &it) {
-        return !it->is_open() && it->workspace == workspace;
-    }));
+    const auto it =
+        std::find_if(all_.begin(), all_.end(), [number](const auto &at) { return at->number == number; });
+    return it == all_.end() ? nullptr : *it;
+}
+
+void instance_pool::remove(const connection &it)
+{
+    allocation_.removed(it->number);
+    std::erase(all_, it);
 }
 
 const instance_pool::waiter *instance_pool::next_to_open() const
@@ -96,48 +119,49 @@
     const waiter *out = nullptr;
     for (const auto &it : waiting_) {
         const bool more_urgent = !out || it.request.priority < out->request.priority;
-        if (++waiting[it.request.workspace] > opening(it.request.workspace) && more_urgent)
+        if (++waiting[it.request.workspace] > allocation_.opening(it.request.workspace) && more_urgent)
             out = &it;
     }
     return out;
 }
 
-bool instance_pool::close_unneeded()
-{
-    const auto needed = [this](const std::string &workspace) {
-        return std::any_of(waiting_.begin(), waiting_.end(),
-                           [&workspace](const auto &it) { return it.request.workspace == workspace; });
-    };
-    // Connections are added when they become idle, so the first is idle for longest.
-    const auto found = std::find_if(idle_.begin(), idle_.end(),
-                                    [&needed](const auto &it) { return !needed(it.upstream->workspace); });
-    if (found == idle_.end())
-        return false;
-    const auto closed = found->upstream;
-    idle_.erase(found);
-    closed->abandon();
-    all_.erase(std::remove(all_.begin(), all_.end(), closed), all_.end());
-    return true;
-}
-
 void instance_pool::open_for_waiting()
 {
-    if (retired_ || limit_ == 0 || waiting_.empty() || !reachable(clock_type::now()))
+    if (retired_ || waiting_.empty())
         return;
     const auto *const next = next_to_open();
-    if (!next || (all_.size() >= refused_above_ && opening() > 0))
-        return;
-    if (all_.size() >= std::min<std::size_t>(limit_, refused_above_) && !close_unneeded() &&
-        all_.size() >= limit_)
+    if (!next)
         return;
+    std::set<std::string> needed;
+    for (const auto &it : waiting_)
+        needed.insert(it.request.workspace);
+    const auto plan = allocation_.plan_opening(next->request.workspace, needed, now());
+    if (plan.close)
+        close_idle(*plan.close);
+    if (plan.open)
+        open(next->request);
+    else if (plan.close)
+        allocation_.record_replacement(now()); // the next tick opens one
+}
+
+void instance_pool::close_idle(std::uint64_t number)
+{
+    const auto closed = find(number);
+    closed->abandon();
+    remove(closed);
+}
+
+void instance_pool::open(const connection_request &request)
+{
     auto target = target_;
-    if (!next->request.workspace.empty())
-        target.caller = next->request.workspace;
+    if (!request.workspace.empty())
+        target.caller = request.workspace;
     auto it = std::make_shared<upstream_connection>(base_, std::move(target));
-    it->workspace = next->request.workspace;
+    it->workspace = request.workspace;
     it->number = ++last_connection_number_;
     health_.requested();
     all_.push_back(it);
+    allocation_.add(it->number, it->workspace);
     auto *const raw = it.get();
     const std::weak_ptr<instance_pool> weak = weak_from_this();
     it->open({[weak, raw] {
@@ -145,9 +169,7 @@
                   if (!me)
                       return;
                   me->health_.answered();
-                  me->limit_delay_ = retry_after_failure;
-                  me->refused_above_ = std::max(me->refused_above_, me->all_.size());
-                  me->idle_.push_back({raw->shared_from_this(), clock_type::now()});
+                  me->allocation_.opened(raw->number, now());
                   me->serve_waiting();
                   me->open_for_waiting();
               },
@@ -160,21 +182,16 @@
 
 void instance_pool::on_closed(upstream_connection *which, const std::optional<session::failure> &refusal)
 {
-    const auto found =
-        std::find_if(all_.begin(), all_.end(), [which](const auto &it) { return it.get() == which; });
-    if (found == all_.end())
+    const auto kept = find(which->number); // keeps the object alive until this function returns
+    if (kept.get() != which)
         return;
-    const auto kept = *found; // keeps the object alive until this function returns
-    all_.erase(found);
-    const auto idle = std::find_if(idle_.begin(), idle_.end(),
-                                   [which](const auto &it) { return it.upstream.get() == which; });
-    if (idle != idle_.end())
-        idle_.erase(idle);
-    if (!kept->was_open())
-        retry_at_ = clock_type::now() + retry_after_failure;
-    if (refusal && refusal->code == session::answer_code::connection_limit) {
+    remove(kept);
+    const bool at_limit = refusal && refusal->code == session::answer_code::connection_limit;
+    if (!at_limit && !kept->was_open())
+        allocation_.record_failure(now());
+    if (at_limit) {
         health_.answered(); // it is responsive; other processes use all its connections
-        record_limit_refusal(clock_type::now());
+        allocation_.record_limit_refusal(now());
     } else
         health_.failed(refusal ? "refused with " + std::string(platform::code_word(refusal->code)) + ' ' +
                                      refusal->text
@@ -182,24 +199,20 @@
                        kept->is_absent());
     if (all_.empty())
         refuse_waiting(acquire_failure::unreachable);
-}
-
-void instance_pool::record_limit_refusal(time_point now)
-{
-    refused_above_ = all_.size();
-    retry_at_ = now + limit_delay_;
-    limit_delay_ = std::min(limit_delay_ * 2, longest_limit_delay);
+    if (allocation_.has_workspaces())
+        open_for_waiting(); // in place of an idle one
+    refuse_hopeless(now());
 }
 
 void instance_pool::serve_waiting()
 {
     // After a suspension of the process, sockets are handled before timers: requests may have expired.
-    refuse_expired(clock_type::now());
+    refuse_expired(now());
     for (;;) {
         auto next = waiting_.end();
         for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
             const bool more_urgent = next == waiting_.end() || it->request.priority < next->request.priority;
-            if (more_urgent && has_idle(it->request.workspace))
+            if (more_urgent && allocation_.idle_of(it->request.workspace, {}))
                 next = it;
         }
         if (next == waiting_.end())
@@ -210,13 +223,6 @@
     }
 }
 
-bool instance_pool::has_idle(const std::string &workspace) const
-{
-    return std::any_of(idle_.begin(), idle_.end(), [&workspace](const auto &it) {
-        return it.upstream->workspace == workspace && !it.upstream->is_closed();
-    });
-}
-
 void instance_pool::refuse_waiting(acquire_failure reason)
 {
     auto refused = std::move(waiting_);
@@ -227,20 +233,14 @@
 
 instance_pool::connection instance_pool::pop_idle(const connection_request &request)
 {
-    std::erase_if(idle_, [](const auto &it) { return it.upstream->is_closed(); });
-    auto chosen = idle_.end();
-    for (auto it = idle_.begin(); it != idle_.end(); ++it) {
-        if (it->upstream->workspace != request.workspace)
-            continue;
-        chosen = it;
-        if (request.values && it->upstream->session_state.values() == *request.values)
-            break;
-    }
-    if (chosen == idle_.end())
+    const auto has_values = [this, &request](std::uint64_t number) {
+        return request.values && find(number)->session_state.values() == *request.values;
+    };
+    const auto chosen = allocation_.idle_of(request.workspace, has_values);
+    if (!chosen)
         return nullptr;
-    auto out = chosen->upstream;
-    idle_.erase(chosen);
-    return out;
+    allocation_.taken(*chosen, request.hold, now());
+    return find(*chosen);
 }
 
 void instance_pool::refuse_expired(time_point now)
@@ -258,22 +258,43 @@
         it(nullptr, acquire_failure::wait_expired);
 }
 
+void instance_pool::refuse_hopeless(time_point now)
+{
+    std::vector<acquire_hook> refused;
+    std::map<std::string, std::size_t> waiting;
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+        const auto &workspace = it->request.workspace;
+        // One that is being opened is for the first of its workspace's requests.
+        const bool has_attempt = ++waiting[workspace] <= allocation_.opening(workspace);
+        const bool in_time = now + allocation_.outlook(workspace, 1, now).wait <= it->request.deadline;
+        if (workspace.empty() || has_attempt || in_time) {
+            ++it;
+            continue;
+        }
+        refused.push_back(std::move(it->done));
+        it = waiting_.erase(it);
+    }
+    for (const auto &it : refused)
+        it(nullptr, acquire_failure::exhausted);
+}
+
 void instance_pool::tick(time_point now)
 {
     refuse_expired(now);
-    std::vector<connection> idle_too_long;
-    for (std::size_t n = 0; n < idle_.size(); ++n) {
-        const bool of_workspace = !idle_[n].upstream->workspace.empty();
-        if (now - idle_[n].since > (of_workspace ? workspace_idle_time : idle_time))
-            idle_too_long.push_back(idle_[n].upstream);
-    }
-    for (const auto &it : idle_too_long) {
-        std::erase_if(idle_, [&it](const auto &idle) { return idle.upstream == it; });
-        drop(it);
-    }
+    close_unneeded(now);
     end_slow_attempts(now);
     end_unresponsive(now);
     open_for_waiting();
+    refuse_hopeless(now);
+}
+
+void instance_pool::close_unneeded(time_point now)
+{
+    // Whether this process is the home takes a ranking of the fleet, so it is asked only when it matters.
+    if (allocation_.idle_too_long(false, now).empty())
+        return;
+    for (const auto it : allocation_.idle_too_long(is_home_(), now))
+        drop(find(it));
 }
 
 void instance_pool::end_slow_attempts(time_point now)
@@ -285,8 +306,8 @@
         return;
     const auto it = *slow;
     it->abandon();
-    all_.erase(slow);
-    retry_at_ = now + retry_after_failure;
+    remove(it);
+    allocation_.record_failure(now);
     health_.failed("opening a connection timed out", false);
     if (all_.empty())
         refuse_waiting(acquire_failure::unreachable);
@@ -306,10 +327,11 @@
 void instance_pool::retire()
 {
     retired_ = true;
-    auto idle = std::move(idle_);
-    idle_.clear();
-    for (const auto &it : idle)
-        drop(it.upstream);
+    const auto known = all_;
+    for (const auto &it : known) {
+        if (allocation_.is_idle(it->number))
+            drop(it);
+    }
     refuse_waiting(acquire_failure::unreachable);
 }
 
--- a/src/proxy/instance_pool.h
+++ b/src/proxy/instance_pool.h
@@ -2,12 +2,12 @@
 
 #pragma once
 
+#include "admission/connection_allocation.h"
 #include "inner/timer.h"
 #include "proxy/upstream_connection.h"
 
 #include <cstdint>
 #include <functional>
-#include <limits>
 #include <list>
 #include <memory>
 #include <optional>
@@ -21,6 +21,7 @@
 {
     wait_expired,
     unreachable, ///< the instance does not accept connections at present
+    exhausted,   ///< no connection is expected to become available before the deadline
 };
 
 /// Priority, deadline and preference of a request for a connection.
@@ -30,13 +31,15 @@
     time_point deadline;                                   ///< refused if it still waits then
     std::shared_ptr<const session::session_values> values; ///< a connection that has these is preferred
     std::string workspace = {}; ///< to which the connection must belong; empty: to the proxy itself
+    /// Expected time until its release; none if a transaction uses it.
+    std::optional<std::chrono::microseconds> hold = std::nullopt;
 };
 
 /**
  * Opens connections on demand, up to a limit, and keeps idle ones for later requests.
  *
  * A connection is used by one request at a time, which must release or drop it. It belongs to one workspace,
- * whose name the instance was told when it was opened.
+ * whose name the instance was told when it was opened. `connection_allocation` makes the decisions.
  */
 class instance_pool : public std::enable_shared_from_this<instance_pool>
 {
@@ -45,15 +48,6 @@
     using acquire_hook = std::function<void(const connection &, std::optional<acquire_failure>)>;
     using request_id = std::uint64_t;
 
-    /// Back-off delay after a failed attempt to open a connection; two detection intervals.
-    static constexpr std::chrono::milliseconds retry_after_failure{200};
-    /// The delay doubles up to this with each attempt that the instance refuses for its connection limit.
-    static constexpr std::chrono::milliseconds longest_limit_delay{3200};
-    /// An idle connection is closed after this time, so that other processes can open one.
-    static constexpr std::chrono::milliseconds idle_time{3000};
-    /// The same for the connections of workspaces: many workspaces use a connection only now and then, and a
-    /// new one occupies a slot of the instance for longer than most statements.
-    static constexpr std::chrono::milliseconds workspace_idle_time{10000};
     /// Time-out of opening a connection, which usually takes 12 ms and the wait in the instance's queue.
     static constexpr std::chrono::milliseconds open_timeout{600};
 
@@ -84,10 +78,29 @@
     /// Closes a connection whose state is not known.
     void drop(const connection &it);
 
+    /// A transaction on the connection waits for its caller; it may be ended from `may_end_at`.
+    void rest(const connection &it, time_point may_end_at);
+
+    /// The transaction has a further statement.
+    void resume(const connection &it);
+
+    /// Records that a workspace has a statement for the instance.
+    void record_demand(const std::string &workspace) { allocation_.record_demand(workspace, now()); }
+
+    /// Returns the outlook of the last of `waiting` statements of the workspace for a connection.
+    [[nodiscard]] admission::connection_outlook outlook(const std::string &workspace, std::size_t waiting,
+                                                        time_point now) const;
+
+    /// Returns true if statements of workspaces cannot run because all connections are in use.
+    [[nodiscard]] bool exhausted(time_point now) const { return !retired_ && allocation_.exhausted(now); }
+
     /// Refuses expired requests, and closes connections that are idle, slow to open or unresponsive.
     void tick(time_point now);
 
-    void set_limit(std::uint32_t limit) { limit_ = limit; }
+    void set_limit(std::uint32_t limit) { allocation_.set_limit(limit); }
+
+    /// Sets the check whether other processes forward statements for the instance to this one first.
+    void set_home_check(std::function<bool()> is_home) { is_home_ = std::move(is_home); }
 
     /// Sets the number of statements that the instance runs at the same time.
     void set_slots(std::uint32_t slots) { slots_ = slots; }
@@ -96,10 +109,10 @@
     /// Closes idle connections and refuses waiting requests; connections in use are closed on release.
     void retire();
 
-    [[nodiscard]] bool reachable(time_point now) const { return now >= retry_at_; }
+    [[nodiscard]] bool reachable(time_point now) const { return allocation_.reachable(now); }
     [[nodiscard]] std::size_t open_count() const { return all_.size(); }
     [[nodiscard]] std::size_t waiting_count() const { return waiting_.size(); }
-    [[nodiscard]] std::size_t idle_count() const { return idle_.size(); }
+    [[nodiscard]] std::size_t idle_count() const { return allocation_.idle(); }
     [[nodiscard]] const upstream_target &target() const { return target_; }
     [[nodiscard]] const health_hooks &health() const { return health_; }
 
@@ -110,42 +123,31 @@
         connection_request request;
         acquire_hook done;
     };
-    struct idle_connection
-    {
-        connection upstream;
-        time_point since;
-    };
-
-    [[nodiscard]] std::size_t opening() const;
+    [[nodiscard]] static time_point now();
+    [[nodiscard]] connection find(std::uint64_t number) const;
+    void remove(const connection &it);
     void open_for_waiting();
+    void open(const connection_request &request);
+    void close_idle(std::uint64_t number);
+    void close_unneeded(time_point now);
+    void refuse_hopeless(time_point now);
     void end_slow_attempts(time_point now);
     void end_unresponsive(time_point now);
-    void record_limit_refusal(time_point now);
     void on_closed(upstream_connection *which, const std::optional<session::failure> &refusal);
     void serve_waiting();
     void refuse_expired(time_point now);
     void refuse_waiting(acquire_failure reason);
     connection pop_idle(const connection_request &request);
-    [[nodiscard]] bool has_idle(const std::string &workspace) const;
-    [[nodiscard]] std::size_t opening(const std::string &workspace) const;
     /// Returns the waiting request to open a connection for, or none: each has one that is being opened.
     [[nodiscard]] const waiter *next_to_open() const;
-    /// Closes the connection that is idle for longest and that no waiting request can use; returns false if
-    /// there is none.
-    bool close_unneeded();
-
     event_base *base_;
     upstream_target target_;
-    std::uint32_t limit_;
     std::uint32_t slots_ = 1;
-    /// Connections above this number are opened one at a time: the instance refused one.
-    std::size_t refused_above_ = std::numeric_limits<std::size_t>::max();
-    std::chrono::milliseconds limit_delay_ = retry_after_failure;
     health_hooks health_;
-    std::vector<idle_connection> idle_;
-    std::vector<connection> all_; ///< open or opening
-    std::list<waiter> waiting_;   ///< in order of arrival
-    time_point retry_at_;
+    std::function<bool()> is_home_ = [] { return true; };
+    admission::connection_allocation allocation_; ///< knows exactly the connections in `all_`
+    std::vector<connection> all_;                 ///< open or opening
+    std::list<waiter> waiting_;                   ///< in order of arrival
     request_id last_request_id_ = 0;
     std::uint64_t last_connection_number_ = 0;
     bool retired_ = false;
--- a/src/proxy/local_executor.cpp
+++ b/src/proxy/local_executor.cpp
@@ -2,7 +2,10 @@
 
 #include "proxy/local_executor.h"
 
+#include "support/json_log.h"
+
 #include <algorithm>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -51,7 +54,10 @@
 
 void local_executor::tick(time_point now, std::chrono::milliseconds limit)
 {
+    constexpr int early_share = 3;
+    state_->early_end = limit / early_share;
     end_idle(now, limit);
+    end_for_waiting(now);
     for (auto &[instance, scheduler] : state_->schedulers) {
         for (const auto key : scheduler.expired(now)) {
             const auto it = state_->waiting.find(key);
@@ -84,6 +90,39 @@
         return_connection(ended.pool, ended.connection);
 }
 
+bool local_executor::lacks_connections(const instance_pool &pool, time_point now) const
+{
+    return pool.waiting_count() > 0 && pool.exhausted(now);
+}
+
+void local_executor::end_for_waiting(time_point now)
+{
+    struct idle_transaction
+    {
+        std::uint64_t number;
+        time_point since;
+    };
+    std::map<std::shared_ptr<instance_pool>, idle_transaction> idle_longest;
+    for (const auto &[number, it] : state_->transactions) {
+        if (it.running || it.claimed || now - it.used_at <= state_->early_end)
+            continue;
+        const auto [known, is_new] = idle_longest.try_emplace(it.pool, idle_transaction{number, it.used_at});
+        if (!is_new && it.used_at < known->second.since)
+            known->second = {number, it.used_at};
+    }
+    for (const auto &[pool, it] : idle_longest) {
+        if (!lacks_connections(*pool, now))
+            continue;
+        support::log_event(
+            "transaction_ended_early",
+            {{"instance", pool->target().instance},
+             {"idle_ms",
+              std::to_string(std::chrono::ceil<std::chrono::milliseconds>(now - it.since).count())},
+             {"reason", "no connection is left for other statements"}});
+        end_transaction(it.number);
+    }
+}
+
 void local_executor::end_owner(std::uint64_t owner)
 {
     std::vector<std::uint64_t> ended;
@@ -99,7 +138,7 @@
 {
     std::vector<std::uint64_t> ended;
     for (const auto &it : state_->transactions) {
-        if (!it.second.running && now - it.second.used_at > limit)
+        if (!it.second.running && !it.second.claimed && now - it.second.used_at > limit)
             ended.push_back(it.first);
     }
     for (const auto it : ended)
--- a/src/proxy/local_executor.h
+++ b/src/proxy/local_executor.h
@@ -38,7 +38,8 @@
     void end_owner(std::uint64_t owner);
 
     /// Rolls back transactions that were idle for longer than `limit`, and refuses statements whose wait for
-    /// a slot has expired.
+    /// a slot has expired. While no connection of an instance is left for the statements of workspaces, its
+    /// transaction that is idle for longest is rolled back after a third of `limit`.
     void tick(time_point now, std::chrono::milliseconds limit);
 
     /// Returns true while a statement runs or waits for a slot, or a transaction is open.
@@ -53,6 +54,8 @@
     void start(std::uint64_t owner, inner::execute_request request, answer_hook done);
     void send_status_request(const inner::execute_request &request);
     void end_idle(time_point now, std::chrono::milliseconds limit);
+    void end_for_waiting(time_point now);
+    [[nodiscard]] bool lacks_connections(const instance_pool &pool, time_point now) const;
 
     pool_hook pools_;
     std::shared_ptr<executor_state> state_ = std::make_shared<executor_state>();
--- a/src/proxy/statement_execution.cpp
+++ b/src/proxy/statement_execution.cpp
@@ -49,7 +49,12 @@
         run();
         return;
     }
+    if (request_.transaction != 0 && !claim_transaction()) {
+        not_run("the transaction is not open here");
+        return;
+    }
     const auto now = clock_type::now();
+    pool->record_demand(request_.workspace);
     auto &scheduler = state_->schedulers.try_emplace(request_.instance, pool->slots()).first->second;
     scheduler.set_slots(pool->slots());
     key_ = ++state_->last_key;
@@ -73,6 +78,16 @@
     }
 }
 
+bool statement_execution::claim_transaction()
+{
+    const auto known = state_->transactions.find(request_.transaction);
+    if (known == state_->transactions.end() || known->second.owner != owner_ || known->second.running ||
+        known->second.claimed || known->second.pool->target().instance != request_.instance)
+        return false;
+    known->second.claimed = claimed_ = true;
+    return true;
+}
+
 void statement_execution::run()
 {
     if (request_.transaction == 0) {
@@ -80,8 +95,7 @@
         return;
     }
     const auto known = state_->transactions.find(request_.transaction);
-    if (known == state_->transactions.end() || known->second.owner != owner_ || known->second.running ||
-        known->second.pool->target().instance != request_.instance)
+    if (!claimed_ || known == state_->transactions.end()) // it may have ended while the statement waited
         not_run("the transaction is not open here");
     else
         run_in_transaction(known->second);
@@ -107,11 +121,11 @@
     const connection_request wanted{request_.priority,
                                     clock_type::now() + request_.wait_left,
                                     {self, &request_.values},
-                                    request_.workspace};
+                                    request_.workspace,
+                                    expected_hold()};
     pool_->acquire(wanted, [self](const auto &connection, auto reason) {
         if (!connection) {
-            self->not_run(reason == acquire_failure::wait_expired ? "all connections are in use"
-                                                                  : "the instance takes no connections");
+            self->refuse_without_connection(reason.value());
             return;
         }
         self->connection_ = connection;
@@ -122,11 +136,31 @@
     });
 }
 
+std::optional<std::chrono::microseconds> statement_execution::expected_hold() const
+{
+    const auto scheduler = state_->schedulers.find(request_.instance);
+    if (request_.begin != begin_mode::none || scheduler == state_->schedulers.end())
+        return std::nullopt;
+    return scheduler->second.expected_duration(request_.label);
+}
+
+void statement_execution::refuse_without_connection(acquire_failure reason)
+{
+    if (reason == acquire_failure::unreachable) {
+        not_run("the instance takes no connections");
+        return;
+    }
+    // Without workspaces, a statement that found no connection is offered to the same instance again.
+    const bool overloaded = reason == acquire_failure::exhausted || !request_.workspace.empty();
+    finish({execute_outcome::not_run, "all connections are in use", overloaded, {}, 0});
+}
+
 void statement_execution::run_in_transaction(open_transaction &transaction)
 {
     pool_ = transaction.pool;
     connection_ = transaction.connection;
     transaction.running = true;
+    pool_->resume(connection_);
     prepare();
 }
 
@@ -148,7 +182,7 @@
             return;
         }
         if (answer->error) {
-            return_connection(self->pool_, self->connection_);
+            self->give_back();
             self->finish({execute_outcome::answered, {}, false, *answer, 0});
             return;
         }
@@ -205,14 +239,26 @@
     const bool open = answer->end.state == transaction_state::open;
     if (open && (request_.begin != begin_mode::none || request_.transaction != 0)) {
         out.transaction = request_.transaction != 0 ? request_.transaction : ++state_->last_transaction;
-        state_->transactions[out.transaction] = {owner_, pool_, connection_, clock_type::now(), false};
+        keep_open(out.transaction);
     } else {
         state_->transactions.erase(request_.transaction);
-        return_connection(pool_, connection_);
+        give_back();
     }
     finish(out);
 }
 
+void statement_execution::give_back()
+{
+    return_connection(pool_, connection_);
+}
+
+void statement_execution::keep_open(std::uint64_t transaction)
+{
+    const auto now = clock_type::now();
+    state_->transactions[transaction] = {owner_, pool_, connection_, now};
+    pool_->rest(connection_, now + state_->early_end);
+}
+
 void statement_execution::not_run(std::string reason)
 {
     finish({execute_outcome::not_run, std::move(reason), false, {}, 0});
@@ -234,6 +280,9 @@
 void statement_execution::finish(const inner::execute_answer &answer)
 {
     connection_.reset();
+    const auto open = state_->transactions.find(request_.transaction);
+    if (claimed_ && open != state_->transactions.end())
+        open->second.claimed = false;
     const auto scheduler = state_->schedulers.find(request_.instance);
     if (key_ != 0 && scheduler != state_->schedulers.end()) {
         const auto now = clock_type::now();
--- a/src/proxy/statement_execution.h
+++ b/src/proxy/statement_execution.h
@@ -27,6 +27,7 @@
     instance_pool::connection connection;
     time_point used_at;
     bool running = false; ///< a statement is in progress
+    bool claimed = false; ///< a statement waits for a slot; the transaction does not count as idle
 };
 
 /// What the statements of one executor share; they may outlive the executor.
@@ -38,6 +39,8 @@
     std::map<std::string, admission::slot_scheduler> schedulers;           ///< by instance
     std::map<std::uint64_t, std::shared_ptr<statement_execution>> waiting; ///< for a slot, by key
     std::uint64_t last_key = 0;
+    /// A transaction that was idle for longer may be ended when no connection is left for others.
+    std::chrono::milliseconds early_end = std::chrono::hours(1);
     admission::status_sharing<inner::execute_answer> status_requests;
 
     static std::uint64_t random_start();
@@ -63,14 +66,19 @@
     void schedule(const std::shared_ptr<instance_pool> &pool);
     void run();
     void refuse_overloaded(std::chrono::microseconds expected_wait);
+    void refuse_without_connection(acquire_failure reason);
     [[nodiscard]] std::uint32_t priority() const { return request_.priority; }
 
     void not_run(std::string reason);
 
 private:
+    [[nodiscard]] bool claim_transaction();
+    [[nodiscard]] std::optional<std::chrono::microseconds> expected_hold() const;
     void run_on_new_connection();
+    void give_back();
     void run_in_transaction(open_transaction &transaction);
     void prepare();
+    void keep_open(std::uint64_t transaction);
     void log_setup(const session::connection_setup &setup) const;
     void begin();
     [[nodiscard]] std::string statement_text() const;
@@ -86,6 +94,7 @@
     answer_hook done_;
     time_point deadline_;
     std::uint64_t key_ = 0; ///< at the scheduler; 0: not scheduled
+    bool claimed_ = false;  ///< the request's transaction is claimed for this statement
     std::shared_ptr<instance_pool> pool_;
     instance_pool::connection connection_;
     bool too_long_ = false; ///< with the connection's name of its shape, or with its floor
--- a/tests/proxy/test_statement_run.cpp
+++ b/tests/proxy/test_statement_run.cpp
@@ -79,3 +79,28 @@
     CHECK(home.ended.front() == std::pair<std::string, std::uint64_t>("home", 7));
     CHECK(transaction->id == 0);
 }
+
+// Guards against INDOUBT for a commit whose transaction its home has rolled back while it was idle.
+TEST_CASE("a commit of a transaction that is not open any more is reported as aborted")
+{
+    scripted_home home;
+    const auto group = std::make_shared<proxy::group_task>(home.base, home.executor,
+                                                           proxy::group_identity{"db", "proxy", "erie"});
+    const auto transaction = open_transaction(group);
+    transaction->wrote = true;
+    proxy::run_request request;
+    request.id = "q1";
+    request.text = "COMMIT";
+    request.parsed = *session::parse_statement(request.text);
+    request.route = transaction->route;
+    request.arrived_at = clock_type::now();
+    const auto run = std::make_shared<proxy::statement_run>(
+        home.base, &home.executor, request, std::make_shared<session::session_context>(), group, transaction);
+    std::optional<proxy::run_result> result;
+    run->start([&result](auto it) { result = std::move(it); });
+    REQUIRE(home.answer);
+    home.answer({inner::execute_outcome::not_run, "the transaction is not open here", false, {}, 0});
+    REQUIRE(result);
+    REQUIRE(result->error);
+    CHECK(result->error->code == session::answer_code::aborted);
+}
