Queue the statements of workspaces fairly for an instance's slots

Cause: one workspace far above its load filled the queue of an instance and delayed all others. Statements waited for a connection within their slots, so that idle transactions which held all connections kept their own statements from running. The duration of statements that had waited inside a transaction was learned under the name of their lane.

Change: from the first statement of a workspace, start-time fair queueing over the workspaces of a priority orders them; priority and ageing are kept. A statement gets a slot only if its workspace can have a connection; otherwise it waits, or is refused on arrival or as soon as its wait is expected to be too long. BUSY of workspaces names a spread retry time. Without workspaces the order is unchanged. Durations are learned under the label.

--- a/src/admission/request_queue.cpp
+++ b/src/admission/request_queue.cpp
@@ -9,10 +9,6 @@
 /// Maximum number of requests per lane that are searched for an eligible one.
 constexpr std::size_t search_depth = 16;
 
-/// At most one request in this many is popped for its age, so that ageing cannot undo priority under
-/// overload.
-constexpr std::uint32_t requests_per_aged = 4;
-
 } // namespace
 
 bool request_queue::push(const queued_request &request, const document::limit_policy &limits)
--- a/src/admission/request_queue.h
+++ b/src/admission/request_queue.h
@@ -27,6 +27,10 @@
     std::size_t bytes = 0;
     time_point enqueued_at;
     time_point deadline;
+    std::string label = {};                    ///< of its duration; a class may hold several
+    std::string workspace = {};                ///< empty: none
+    bool holds_connection = false;             ///< in an open transaction
+    std::chrono::microseconds opening_cost{0}; ///< part of `cost` for a connection that it may have to open
 };
 
 /**
@@ -47,6 +51,10 @@
         arrival
     };
 
+    /// At most one request in this many is popped for its age, so that ageing cannot undo priority under
+    /// overload.
+    static constexpr std::uint32_t requests_per_aged = 4;
+
     using eligibility_predicate = std::function<bool(const queued_request &)>;
 
     /**
--- a/src/proxy/local_executor.cpp
+++ b/src/proxy/local_executor.cpp
@@ -2,6 +2,7 @@
 
 #include "proxy/local_executor.h"
 
+#include "support/boot_clock.h"
 #include "support/json_log.h"
 
 #include <algorithm>
@@ -11,6 +12,8 @@
 
 namespace baobabport::proxy {
 
+using clock_type = support::boot_clock;
+
 void local_executor::execute(std::uint64_t owner, inner::execute_request request, answer_hook done)
 {
     if (request.id != platform::own_statement_id)
@@ -59,13 +62,17 @@
     end_idle(now, limit);
     end_for_waiting(now);
     for (auto &[instance, scheduler] : state_->schedulers) {
+        start_waiting(*state_, instance, now);
         for (const auto key : scheduler.expired(now)) {
             const auto it = state_->waiting.find(key);
             if (it == state_->waiting.end())
                 continue;
             const auto late = it->second;
             state_->waiting.erase(it);
-            late->refuse_overloaded(scheduler.expected_wait(late->priority(), now));
+            if (scheduler.lacks_connections())
+                late->refuse_without_connection(acquire_failure::exhausted);
+            else
+                late->refuse_overloaded(scheduler.expected_wait(late->priority(), now, late->workspace()));
         }
     }
 }
@@ -87,12 +94,18 @@
     if (ended.running)
         ended.connection->end_without_answer(); // the instance rolls back the transaction and its statement
     else
-        return_connection(ended.pool, ended.connection);
+        return_connection(ended.pool, ended.connection,
+                          [state = state_, instance = ended.pool->target().instance] {
+                              start_waiting(*state, instance, clock_type::now());
+                          });
 }
 
 bool local_executor::lacks_connections(const instance_pool &pool, time_point now) const
 {
-    return pool.waiting_count() > 0 && pool.exhausted(now);
+    const auto scheduler = state_->schedulers.find(pool.target().instance);
+    const bool waits = pool.waiting_count() > 0 ||
+                       (scheduler != state_->schedulers.end() && scheduler->second.lacks_connections());
+    return waits && pool.exhausted(now);
 }
 
 void local_executor::end_for_waiting(time_point now)
--- a/src/proxy/statement_execution.cpp
+++ b/src/proxy/statement_execution.cpp
@@ -7,8 +7,11 @@
 #include "support/json_log.h"
 #include "support/keys.h"
 
+#include <algorithm>
 #include <cstring>
+#include <limits>
 #include <utility>
+#include <vector>
 
 namespace baobabport::proxy {
 
@@ -17,7 +20,8 @@
 using inner::execute_outcome;
 using session::transaction_state;
 
-void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it)
+void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it,
+                       const std::function<void()> &released_later)
 {
     if (it->is_closed())
         return;
@@ -26,12 +30,15 @@
         return;
     }
     it->deadline = clock_type::now() + statement_execution::answer_grace_period;
-    it->send(platform::own_statement_id, platform::rollback_text(), [pool, it](const auto &answer) {
-        if (answer && answer->end.state == transaction_state::none)
-            pool->release(it);
-        else
-            pool->drop(it);
-    });
+    it->send(platform::own_statement_id, platform::rollback_text(),
+             [pool, it, released_later](const auto &answer) {
+                 if (answer && answer->end.state == transaction_state::none)
+                     pool->release(it);
+                 else
+                     pool->drop(it);
+                 if (released_later)
+                     released_later();
+             });
 }
 
 statement_execution::statement_execution(std::shared_ptr<executor_state> state, std::uint64_t owner,
@@ -57,12 +64,19 @@
     pool->record_demand(request_.workspace);
     auto &scheduler = state_->schedulers.try_emplace(request_.instance, pool->slots()).first->second;
     scheduler.set_slots(pool->slots());
+    if (!request_.workspace.empty())
+        scheduler.set_connections([weak = std::weak_ptr(pool)](const auto &workspace, auto waiting, auto at) {
+            const auto connections = weak.lock();
+            return connections ? connections->outlook(workspace, waiting, at)
+                               : admission::connection_outlook{};
+        });
     key_ = ++state_->last_key;
     admission::slot_request wanted;
     wanted.key = key_;
     wanted.priority = request_.priority;
     wanted.holds_connection = request_.transaction != 0;
     wanted.label = request_.label;
+    wanted.workspace = request_.workspace;
     wanted.wait_until = now + (wanted.holds_connection ? request_.time_left : request_.wait_left);
     switch (scheduler.submit(wanted, now)) {
     case admission::slot_decision::run:
@@ -70,10 +84,16 @@
         return;
     case admission::slot_decision::wait:
         state_->waiting[key_] = shared_from_this();
+        if (scheduler.has_workspaces())
+            start_waiting(*state_, scheduler, now);
         return;
     case admission::slot_decision::refuse:
         key_ = 0;
-        refuse_overloaded(scheduler.expected_wait(request_.priority, now));
+        refuse_overloaded(scheduler.expected_wait(request_.priority, now, request_.workspace));
+        return;
+    case admission::slot_decision::no_connection:
+        key_ = 0;
+        refuse_without_connection(acquire_failure::exhausted);
         return;
     }
 }
@@ -111,8 +131,21 @@
                                         {"wait_limit_ms", std::to_string(request_.wait_left.count())},
                                         {"running", std::to_string(scheduler.running())},
                                         {"waiting", std::to_string(scheduler.waiting())}});
-    finish(
-        {execute_outcome::not_run, "the instance is busy for " + std::to_string(wait) + " ms", true, {}, 0});
+    auto reason = "the instance is busy for " + std::to_string(wait) + " ms";
+    if (!request_.workspace.empty())
+        reason +=
+            "; retry in " + std::to_string(retry_delay(std::chrono::milliseconds(wait)).count()) + " ms";
+    finish({execute_outcome::not_run, std::move(reason), true, {}, 0});
+}
+
+std::chrono::milliseconds statement_execution::retry_delay(std::chrono::milliseconds wait) const
+{
+    // Callers that were refused together would otherwise return together.
+    constexpr std::chrono::milliseconds shortest{20};
+    const auto mean = std::max(wait, shortest);
+    const auto spread = static_cast<std::int64_t>(std::hash<std::string>{}(request_.id) %
+                                                  static_cast<std::uint64_t>(mean.count()));
+    return mean / 2 + std::chrono::milliseconds(spread);
 }
 
 void statement_execution::run_on_new_connection()
@@ -249,7 +282,9 @@
 
 void statement_execution::give_back()
 {
-    return_connection(pool_, connection_);
+    return_connection(pool_, connection_, [state = state_, instance = request_.instance] {
+        start_waiting(*state, instance, clock_type::now());
+    });
 }
 
 void statement_execution::keep_open(std::uint64_t transaction)
@@ -297,14 +332,27 @@
 
 void start_waiting(executor_state &state, admission::slot_scheduler &scheduler, time_point now)
 {
-    for (const auto key : scheduler.next(now)) {
-        const auto it = state.waiting.find(key);
-        if (it == state.waiting.end())
-            continue;
-        const auto next = it->second;
-        state.waiting.erase(it);
-        next->run();
-    }
+    const auto all = std::numeric_limits<std::size_t>::max();
+    const std::size_t at_once = scheduler.has_workspaces() ? 1 : all;
+    std::vector<std::uint64_t> keys;
+    do {
+        keys = scheduler.next(now, at_once);
+        for (const auto key : keys) {
+            const auto it = state.waiting.find(key);
+            if (it == state.waiting.end())
+                continue;
+            const auto next = it->second;
+            state.waiting.erase(it);
+            next->run();
+        }
+    } while (at_once == 1 && !keys.empty());
+}
+
+void start_waiting(executor_state &state, const std::string &instance, time_point now)
+{
+    const auto scheduler = state.schedulers.find(instance);
+    if (scheduler != state.schedulers.end() && scheduler->second.has_workspaces())
+        start_waiting(state, scheduler->second, now);
 }
 
 std::uint64_t executor_state::random_start()
--- a/src/proxy/statement_execution.h
+++ b/src/proxy/statement_execution.h
@@ -68,13 +68,17 @@
     void refuse_overloaded(std::chrono::microseconds expected_wait);
     void refuse_without_connection(acquire_failure reason);
     [[nodiscard]] std::uint32_t priority() const { return request_.priority; }
+    [[nodiscard]] const std::string &workspace() const { return request_.workspace; }
 
     void not_run(std::string reason);
 
 private:
     [[nodiscard]] bool claim_transaction();
     [[nodiscard]] std::optional<std::chrono::microseconds> expected_hold() const;
+    /// Returns how long the caller of a refused statement should wait, about as long as the instance is busy.
+    [[nodiscard]] std::chrono::milliseconds retry_delay(std::chrono::milliseconds wait) const;
     void run_on_new_connection();
+    /// Returns the connection; statements that it can serve then start.
     void give_back();
     void run_in_transaction(open_transaction &transaction);
     void prepare();
@@ -103,7 +107,12 @@
 /// Runs the statements to which the scheduler gives a slot.
 void start_waiting(executor_state &state, admission::slot_scheduler &scheduler, time_point now);
 
-/// Returns a connection to its pool; an open transaction on it is rolled back first.
-void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it);
+/// Does so for an instance whose connections may have become available to the statements of workspaces.
+void start_waiting(executor_state &state, const std::string &instance, time_point now);
+
+/// Returns a connection to its pool; an open transaction on it is rolled back first. The hook is called if
+/// the connection is released only after this returns.
+void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it,
+                       const std::function<void()> &released_later = {});
 
 } // namespace baobabport::proxy
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -384,9 +384,9 @@
 void statement_run::refuse(const std::string &reason)
 {
     // No part of the statement has run, except possibly a read.
-    constexpr const char *retry_hint = "; retry in 100 ms";
+    const bool has_hint = reason.find("; retry in ") != std::string::npos; // of the instance's home
     fail(transaction_ && transaction_->forwarded ? answer_code::aborted : answer_code::busy,
-         reason + retry_hint);
+         has_hint ? reason : reason + "; retry in 100 ms");
 }
 
 void statement_run::fail(answer_code code, std::string text)
--- a/tests/admission/test_slot_scheduler.cpp
+++ b/tests/admission/test_slot_scheduler.cpp
@@ -135,3 +135,28 @@
     hurried.wait_until = later + milliseconds(60);
     CHECK(it.submit(hurried, later) == slot_decision::wait);
 }
+
+// Guards against a wait that is expected to be seven times too short: the durations of statements that had
+// waited inside transactions were learned under the name of their lane.
+TEST_CASE("the duration of statements that waited inside a transaction is learned")
+{
+    slot_scheduler it(1);
+    auto now = start;
+    it.submit(make(1, 1, milliseconds(60000), "other"), now);
+    it.submit(make(2, 1, milliseconds(60000), "other"), now);
+    std::uint64_t last = 2;
+    for (int n = 0; n < 10; ++n) {
+        auto open = make(++last, 1, milliseconds(60000));
+        open.holds_connection = true;
+        REQUIRE(it.submit(open, now) == slot_decision::wait);
+        it.finished(last - 2, true, now);
+        REQUIRE(it.next(now) == std::vector<std::uint64_t>{last});
+        now += milliseconds(100);
+    }
+    for (int n = 0; n < 10; ++n) {
+        auto open = make(++last, 1, milliseconds(60000));
+        open.holds_connection = true;
+        REQUIRE(it.submit(open, now) == slot_decision::wait);
+    }
+    CHECK(it.expected_wait(1, now) >= milliseconds(10 * 80));
+}
