--- a/src/proxy/local_executor.cpp
+++ b/src/proxy/local_executor.cpp
@@ -2,12 +2,18 @@
 
 #include "proxy/local_executor.h"
 
+#include "support/boot_clock.h"
+#include "support/json_log.h"
+
 #include <algorithm>
+#include <map>
 #include <utility>
 #include <vector>
 
 namespace baobabport::proxy {
 
+using clock_type = support::boot_clock;
+
 void local_executor::execute(std::uint64_t owner, inner::execute_request request, answer_hook done)
 {
     if (request.id != platform::own_statement_id)
@@ -51,15 +57,22 @@
 
 void local_executor::tick(time_point now, std::chrono::milliseconds limit)
 {
+    constexpr int early_share = 3;
+    state_->early_end = limit / early_share;
     end_idle(now, limit);
+    end_for_waiting(now);
     for (auto &[instance, scheduler] : state_->schedulers) {
+        start_waiting(*state_, instance, now);
         for (const auto key : scheduler.expired(now)) {
             const auto it = state_->waiting.find(key);
             if (it == state_->waiting.end())
                 continue;
             const auto late = it->second;
             state_->waiting.erase(it);
-            late->refuse_overloaded(scheduler.expected_wait(late->priority(), now));
+            if (scheduler.lacks_connections())
+                late->refuse_without_connection(acquire_failure::exhausted);
+            else
+                late->refuse_overloaded(scheduler.expected_wait(late->priority(), now, late->workspace()));
         }
     }
 }
@@ -81,7 +94,46 @@
     if (ended.running)
         ended.connection->end_without_answer(); // the instance rolls back the transaction and its statement
     else
-        return_connection(ended.pool, ended.connection);
+        return_connection(ended.pool, ended.connection,
+                          [state = state_, instance = ended.pool->target().instance] {
+                              start_waiting(*state, instance, clock_type::now());
+                          });
+}
+
+bool local_executor::lacks_connections(const instance_pool &pool, time_point now) const
+{
+    const auto scheduler = state_->schedulers.find(pool.target().instance);
+    const bool waits = pool.waiting_count() > 0 ||
+                       (scheduler != state_->schedulers.end() && scheduler->second.lacks_connections());
+    return waits && pool.exhausted(now);
+}
+
+void local_executor::end_for_waiting(time_point now)
+{
+    struct idle_transaction
+    {
+        std::uint64_t number;
+        time_point since;
+    };
+    std::map<std::shared_ptr<instance_pool>, idle_transaction> idle_longest;
+    for (const auto &[number, it] : state_->transactions) {
+        if (it.running || it.claimed || now - it.used_at <= state_->early_end)
+            continue;
+        const auto [known, is_new] = idle_longest.try_emplace(it.pool, idle_transaction{number, it.used_at});
+        if (!is_new && it.used_at < known->second.since)
+            known->second = {number, it.used_at};
+    }
+    for (const auto &[pool, it] : idle_longest) {
+        if (!lacks_connections(*pool, now))
+            continue;
+        support::log_event(
+            "transaction_ended_early",
+            {{"instance", pool->target().instance},
+             {"idle_ms",
+              std::to_string(std::chrono::ceil<std::chrono::milliseconds>(now - it.since).count())},
+             {"reason", "no connection is left for other statements"}});
+        end_transaction(it.number);
+    }
 }
 
 void local_executor::end_owner(std::uint64_t owner)
@@ -99,7 +151,7 @@
 {
     std::vector<std::uint64_t> ended;
     for (const auto &it : state_->transactions) {
-        if (!it.second.running && now - it.second.used_at > limit)
+        if (!it.second.running && !it.second.claimed && now - it.second.used_at > limit)
             ended.push_back(it.first);
     }
     for (const auto it : ended)
--- a/src/proxy/statement_execution.cpp
+++ b/src/proxy/statement_execution.cpp
@@ -1,4 +1,5 @@
-// Steps of a statement's execution, and what each failure means for the statement and its connection.
+// Steps of a statement's execution but the setup of its connection, and what each failure means for the
+// statement and its connection.
 
 #include "proxy/statement_execution.h"
 
@@ -6,8 +7,11 @@
 #include "support/json_log.h"
 #include "support/keys.h"
 
+#include <algorithm>
 #include <cstring>
+#include <limits>
 #include <utility>
+#include <vector>
 
 namespace baobabport::proxy {
 
@@ -16,22 +20,8 @@
 using inner::execute_outcome;
 using session::transaction_state;
 
-namespace {
-
-/// Returns why a statement that prepares a connection failed; empty if it succeeded.
-std::string preparation_failure(const char *what, const std::optional<session::statement_answer> &answer)
-{
-    if (!answer)
-        return "the connection was lost";
-    if (!answer->error)
-        return {};
-    return std::string(what) + " got " + std::string(platform::code_word(answer->error->code)) + ' ' +
-           answer->error->text;
-}
-
-} // namespace
-
-void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it)
+void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it,
+                       const std::function<void()> &released_later)
 {
     if (it->is_closed())
         return;
@@ -40,12 +30,15 @@
         return;
     }
     it->deadline = clock_type::now() + statement_execution::answer_grace_period;
-    it->send(platform::own_statement_id, platform::rollback_text(), [pool, it](const auto &answer) {
-        if (answer && answer->end.state == transaction_state::none)
-            pool->release(it);
-        else
-            pool->drop(it);
-    });
+    it->send(platform::own_statement_id, platform::rollback_text(),
+             [pool, it, released_later](const auto &answer) {
+                 if (answer && answer->end.state == transaction_state::none)
+                     pool->release(it);
+                 else
+                     pool->drop(it);
+                 if (released_later)
+                     released_later();
+             });
 }
 
 statement_execution::statement_execution(std::shared_ptr<executor_state> state, std::uint64_t owner,
@@ -63,15 +56,27 @@
         run();
         return;
     }
+    if (request_.transaction != 0 && !claim_transaction()) {
+        not_run("the transaction is not open here");
+        return;
+    }
     const auto now = clock_type::now();
+    pool->record_demand(request_.workspace);
     auto &scheduler = state_->schedulers.try_emplace(request_.instance, pool->slots()).first->second;
     scheduler.set_slots(pool->slots());
+    if (!request_.workspace.empty())
+        scheduler.set_connections([weak = std::weak_ptr(pool)](const auto &workspace, auto waiting, auto at) {
+            const auto connections = weak.lock();
+            return connections ? connections->outlook(workspace, waiting, at)
+                               : admission::connection_outlook{};
+        });
     key_ = ++state_->last_key;
     admission::slot_request wanted;
     wanted.key = key_;
     wanted.priority = request_.priority;
     wanted.holds_connection = request_.transaction != 0;
     wanted.label = request_.label;
+    wanted.workspace = request_.workspace;
     wanted.wait_until = now + (wanted.holds_connection ? request_.time_left : request_.wait_left);
     switch (scheduler.submit(wanted, now)) {
     case admission::slot_decision::run:
@@ -79,14 +84,30 @@
         return;
     case admission::slot_decision::wait:
         state_->waiting[key_] = shared_from_this();
+        if (scheduler.has_workspaces())
+            start_waiting(*state_, scheduler, now);
         return;
     case admission::slot_decision::refuse:
         key_ = 0;
-        refuse_overloaded(scheduler.expected_wait(request_.priority, now));
+        refuse_overloaded(scheduler.expected_wait(request_.priority, now, request_.workspace));
+        return;
+    case admission::slot_decision::no_connection:
+        key_ = 0;
+        refuse_without_connection(acquire_failure::exhausted);
         return;
     }
 }
 
+bool statement_execution::claim_transaction()
+{
+    const auto known = state_->transactions.find(request_.transaction);
+    if (known == state_->transactions.end() || known->second.owner != owner_ || known->second.running ||
+        known->second.claimed || known->second.pool->target().instance != request_.instance)
+        return false;
+    known->second.claimed = claimed_ = true;
+    return true;
+}
+
 void statement_execution::run()
 {
     if (request_.transaction == 0) {
@@ -94,8 +115,7 @@
         return;
     }
     const auto known = state_->transactions.find(request_.transaction);
-    if (known == state_->transactions.end() || known->second.owner != owner_ || known->second.running ||
-        known->second.pool->target().instance != request_.instance)
+    if (!claimed_ || known == state_->transactions.end()) // it may have ended while the statement waited
         not_run("the transaction is not open here");
     else
         run_in_transaction(known->second);
@@ -111,8 +131,21 @@
                                         {"wait_limit_ms", std::to_string(request_.wait_left.count())},
                                         {"running", std::to_string(scheduler.running())},
                                         {"waiting", std::to_string(scheduler.waiting())}});
-    finish(
-        {execute_outcome::not_run, "the instance is busy for " + std::to_string(wait) + " ms", true, {}, 0});
+    auto reason = "the instance is busy for " + std::to_string(wait) + " ms";
+    if (!request_.workspace.empty())
+        reason +=
+            "; retry in " + std::to_string(retry_delay(std::chrono::milliseconds(wait)).count()) + " ms";
+    finish({execute_outcome::not_run, std::move(reason), true, {}, 0});
+}
+
+std::chrono::milliseconds statement_execution::retry_delay(std::chrono::milliseconds wait) const
+{
+    // Callers that were refused together would otherwise return together.
+    constexpr std::chrono::milliseconds shortest{20};
+    const auto mean = std::max(wait, shortest);
+    const auto spread = static_cast<std::int64_t>(std::hash<std::string>{}(request_.id) %
+                                                  static_cast<std::uint64_t>(mean.count()));
+    return mean / 2 + std::chrono::milliseconds(spread);
 }
 
 void statement_execution::run_on_new_connection()
@@ -121,11 +154,11 @@
     const connection_request wanted{request_.priority,
                                     clock_type::now() + request_.wait_left,
                                     {self, &request_.values},
-                                    request_.workspace};
+                                    request_.workspace,
+                                    expected_hold()};
     pool_->acquire(wanted, [self](const auto &connection, auto reason) {
         if (!connection) {
-            self->not_run(reason == acquire_failure::wait_expired ? "all connections are in use"
-                                                                  : "the instance takes no connections");
+            self->refuse_without_connection(reason.value());
             return;
         }
         self->connection_ = connection;
@@ -136,91 +169,32 @@
     });
 }
 
-void statement_execution::run_in_transaction(open_transaction &transaction)
+std::optional<std::chrono::microseconds> statement_execution::expected_hold() const
 {
-    pool_ = transaction.pool;
-    connection_ = transaction.connection;
-    transaction.running = true;
-    prepare();
+    const auto scheduler = state_->schedulers.find(request_.instance);
+    if (request_.begin != begin_mode::none || scheduler == state_->schedulers.end())
+        return std::nullopt;
+    return scheduler->second.expected_duration(request_.label);
 }
 
-void statement_execution::prepare()
+void statement_execution::refuse_without_connection(acquire_failure reason)
 {
-    auto &it = *connection_;
-    it.deadline = deadline_;
-    struct progress
-    {
-        int outstanding = 1; ///< outstanding answers, and 1 until this function has sent all its statements
-        std::string failure; ///< of the first statement that failed; empty: none
-        std::optional<session::statement_answer> refused_shape;
-    };
-    const auto state = std::make_shared<progress>();
-    const auto one_done = [self = shared_from_this(), state](const std::string &failure) {
-        if (state->failure.empty())
-            state->failure = failure;
-        if (--state->outstanding > 0)
-            return;
-        if (!state->failure.empty()) {
-            self->fail_connection(execute_outcome::not_run,
-                                  "the connection could not be prepared: " + state->failure);
-        } else if (state->refused_shape) {
-            self->connection_->session_state.forget(*self->request_.prepared);
-            self->handle_answer(state->refused_shape);
-        } else
-            self->begin();
-    };
-    const auto send = [&it, state, one_done](const char *what, const std::string &text) {
-        ++state->outstanding;
-        it.send(platform::own_statement_id, text,
-                [one_done, what](const auto &answer) { one_done(preparation_failure(what, answer)); });
-    };
-    const auto send_shape = [&it, state, one_done](const std::string &text) {
-        ++state->outstanding;
-        it.send(platform::own_statement_id, text, [state, one_done](const auto &answer) {
-            // Another instance would refuse it, too.
-            if (answer && answer->error && answer->error->code == session::answer_code::malformed) {
-                state->refused_shape = answer;
-                one_done({});
-            } else
-                one_done(preparation_failure("prepared statement", answer));
-        });
-    };
-    if (request_.id == platform::own_statement_id) { // needs no session state
-        one_done({});
+    if (reason == acquire_failure::unreachable) {
+        not_run("the instance takes no connections");
         return;
     }
-    const auto setup =
-        it.session_state.require(request_.values, request_.prepared, it.state() != transaction_state::none);
-    if (setup.reset)
-        send("reset", platform::reset_text());
-    for (const auto &[name, value] : setup.values)
-        send("session value", platform::set_text(name, value));
-    if (setup.prepare) {
-        const auto text = platform::prepare_text(*setup.prepare);
-        too_long_ = !platform::statement_fits(platform::own_statement_id, text);
-        if (too_long_)
-            it.session_state.forget(*request_.prepared);
-        else
-            send_shape(text);
-    }
-    too_long_ = too_long_ || !platform::statement_fits(request_.id, statement_text());
-    if (!setup.empty())
-        log_setup(setup);
-    one_done({});
+    // Without workspaces, a statement that found no connection is offered to the same instance again.
+    const bool overloaded = reason == acquire_failure::exhausted || !request_.workspace.empty();
+    finish({execute_outcome::not_run, "all connections are in use", overloaded, {}, 0});
 }
 
-void statement_execution::log_setup(const session::connection_setup &setup) const
+void statement_execution::run_in_transaction(open_transaction &transaction)
 {
-    constexpr std::size_t shape_bytes = 64;
-    const auto &prepare = setup.prepare;
-    support::log_routine("connection_prepared",
-                         {{"id", request_.id},
-                          {"instance", request_.instance},
-                          {"connection", std::to_string(connection_->number)},
-                          {"reset", setup.reset ? "yes" : "no"},
-                          {"values", std::to_string(setup.values.size())},
-                          {"prepared", prepare ? prepare->name : ""},
-                          {"shape", prepare ? prepare->prepared.shape.substr(0, shape_bytes) : ""}});
+    pool_ = transaction.pool;
+    connection_ = transaction.connection;
+    transaction.running = true;
+    pool_->resume(connection_);
+    prepare();
 }
 
 void statement_execution::begin()
@@ -241,7 +215,7 @@
             return;
         }
         if (answer->error) {
-            return_connection(self->pool_, self->connection_);
+            self->give_back();
             self->finish({execute_outcome::answered, {}, false, *answer, 0});
             return;
         }
@@ -282,26 +256,44 @@
         fail_connection(execute_outcome::lost, "the connection was lost");
         return;
     }
+    inner::execute_answer out{execute_outcome::answered, {}, false, *answer, 0};
     if (answer->error && answer->error->code == session::answer_code::unknown_name && request_.prepared) {
+        // What else the instance has lost of the connection's state is not known.
         support::log_warning("prepared_statement_unknown",
                              {{"id", request_.id},
                               {"instance", request_.instance},
                               {"connection", std::to_string(connection_->number)},
                               {"prepared", connection_->session_state.name_of(*request_.prepared)}});
-        connection_->session_state.forget(*request_.prepared);
+        state_->transactions.erase(request_.transaction);
+        pool_->drop(connection_);
+        finish(out);
+        return;
     }
-    inner::execute_answer out{execute_outcome::answered, {}, false, *answer, 0};
     const bool open = answer->end.state == transaction_state::open;
     if (open && (request_.begin != begin_mode::none || request_.transaction != 0)) {
         out.transaction = request_.transaction != 0 ? request_.transaction : ++state_->last_transaction;
-        state_->transactions[out.transaction] = {owner_, pool_, connection_, clock_type::now(), false};
+        keep_open(out.transaction);
     } else {
         state_->transactions.erase(request_.transaction);
-        return_connection(pool_, connection_);
+        give_back();
     }
     finish(out);
 }
 
+void statement_execution::give_back()
+{
+    return_connection(pool_, connection_, [state = state_, instance = request_.instance] {
+        start_waiting(*state, instance, clock_type::now());
+    });
+}
+
+void statement_execution::keep_open(std::uint64_t transaction)
+{
+    const auto now = clock_type::now();
+    state_->transactions[transaction] = {owner_, pool_, connection_, now};
+    pool_->rest(connection_, now + state_->early_end);
+}
+
 void statement_execution::not_run(std::string reason)
 {
     finish({execute_outcome::not_run, std::move(reason), false, {}, 0});
@@ -323,6 +315,9 @@
 void statement_execution::finish(const inner::execute_answer &answer)
 {
     connection_.reset();
+    const auto open = state_->transactions.find(request_.transaction);
+    if (claimed_ && open != state_->transactions.end())
+        open->second.claimed = false;
     const auto scheduler = state_->schedulers.find(request_.instance);
     if (key_ != 0 && scheduler != state_->schedulers.end()) {
         const auto now = clock_type::now();
@@ -337,14 +332,27 @@
 
 void start_waiting(executor_state &state, admission::slot_scheduler &scheduler, time_point now)
 {
-    for (const auto key : scheduler.next(now)) {
-        const auto it = state.waiting.find(key);
-        if (it == state.waiting.end())
-            continue;
-        const auto next = it->second;
-        state.waiting.erase(it);
-        next->run();
-    }
+    const auto all = std::numeric_limits<std::size_t>::max();
+    const std::size_t at_once = scheduler.has_workspaces() ? 1 : all;
+    std::vector<std::uint64_t> keys;
+    do {
+        keys = scheduler.next(now, at_once);
+        for (const auto key : keys) {
+            const auto it = state.waiting.find(key);
+            if (it == state.waiting.end())
+                continue;
+            const auto next = it->second;
+            state.waiting.erase(it);
+            next->run();
+        }
+    } while (at_once == 1 && !keys.empty());
+}
+
+void start_waiting(executor_state &state, const std::string &instance, time_point now)
+{
+    const auto scheduler = state.schedulers.find(instance);
+    if (scheduler != state.schedulers.end() && scheduler->second.has_workspaces())
+        start_waiting(state, scheduler->second, now);
 }
 
 std::uint64_t executor_state::random_start()
