Reads go to the instance that is expected to complete them first

The instance for a read was chosen by the statements in flight per slot, so an instance that is 5 times slower, or hangs, got as many reads as the others until these statements had piled up.

`routing::instance_score` learns each instance's speed relative to its service's, from the durations of this VM's reads by label, and scores service time x (1 + in flight / slots) plus the former penalties, all in milliseconds. A statement that is overdue raises the expected time to its age.

--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -37,6 +37,7 @@
         known.pool->set_slots(it.slots);
     }
     outliers_.set_instances(present);
+    score_.set_instances(present);
     for (auto it = members_.begin(); it != members_.end();) {
         if (present.count(it->first)) {
             ++it;
@@ -129,33 +130,27 @@
 std::shared_ptr<instance_pool> group_task::choose_for_read(const read_requirements &requirements,
                                                            time_point now) const
 {
-    // A round trip between data centres costs bytes and time: about as much as two queued statements.
-    constexpr double other_data_centre_cost = 2.0;
-    constexpr double behind_cost = 8.0; // an instance whose log is behind the floor rejects the read
-    constexpr double excluded_cost = 20.0;
-    constexpr double ejected_cost = 40.0; // above all others together
-    constexpr double draining_cost = 10.0;
-    constexpr double primary_cost = 1.0; // the primary also runs the writes, which no replica can run
     std::shared_ptr<instance_pool> best;
-    double best_cost = 0;
+    routing::instance_score::score best_cost{0};
     for (const auto &[id, it] : members_) {
         if (requirements.excluded.count(id) ||
             !directory::instance_directory::accepts_statements(it.record, now))
             continue;
-        double cost = it.record.data_centre == identity_.data_centre ? 0 : other_data_centre_cost;
+        routing::read_candidate candidate;
+        candidate.id = id;
+        candidate.slots = it.record.slots;
+        candidate.in_flight = static_cast<std::uint32_t>(it.sent.size());
+        if (!it.sent.empty())
+            candidate.oldest_sent_at = *it.sent.begin();
+        candidate.in_own_data_centre = it.record.data_centre == identity_.data_centre;
         const auto applied = state_.applied(id);
         const bool recent = applied && now - applied->requested_at < behind_retry_delay;
-        if (requirements.floor && recent && applied->log < *requirements.floor)
-            cost += behind_cost;
-        if (now < it.excluded_until || !it.pool->reachable(now))
-            cost += excluded_cost;
-        if (!outliers_.admits(id, it.in_flight, now))
-            cost += ejected_cost;
-        if (it.record.state == directory::instance_state::draining)
-            cost += draining_cost;
-        if (state_.primary() == id)
-            cost += primary_cost;
-        cost += static_cast<double>(it.in_flight) / std::max(1U, it.record.slots);
+        candidate.behind = requirements.floor && recent && applied->log < *requirements.floor;
+        candidate.excluded = now < it.excluded_until || !it.pool->reachable(now);
+        candidate.ejected = !outliers_.admits(id, candidate.in_flight, now);
+        candidate.draining = it.record.state == directory::instance_state::draining;
+        candidate.primary = state_.primary() == id;
+        const auto cost = score_.cost(candidate, now);
         if (!best || cost < best_cost) {
             best = it.pool;
             best_cost = cost;
@@ -245,18 +240,28 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now - since);
 }
 
-void group_task::record_sent(const std::string &id)
+void group_task::record_sent(const std::string &id, time_point sent_at)
 {
     const auto it = members_.find(id);
     if (it != members_.end())
-        ++it->second.in_flight;
+        it->second.sent.insert(sent_at);
 }
 
-void group_task::record_returned(const std::string &id)
+void group_task::record_returned(const std::string &id, time_point sent_at)
 {
     const auto it = members_.find(id);
-    if (it != members_.end() && it->second.in_flight > 0)
-        --it->second.in_flight;
+    if (it == members_.end())
+        return;
+    const auto found = it->second.sent.find(sent_at);
+    if (found != it->second.sent.end()) // it is not there if the instance has restarted
+        it->second.sent.erase(found);
+}
+
+void group_task::record_duration(const std::string &id, const std::string &label, time_point sent_at,
+                                 time_point now)
+{
+    score_.record_answer(id, label, std::chrono::duration_cast<std::chrono::microseconds>(now - sent_at),
+                         now);
 }
 
 std::string group_task::data_centre_of(const std::string &id) const
--- a/src/proxy/group_task.h
+++ b/src/proxy/group_task.h
@@ -9,6 +9,7 @@
 #include "proxy/instance_pool.h"
 #include "proxy/local_executor.h"
 #include "replication/group_state.h"
+#include "routing/instance_score.h"
 #include "routing/outlier_detector.h"
 
 #include <functional>
@@ -100,7 +101,7 @@
     [[nodiscard]] std::shared_ptr<instance_pool> pool_for_statements(const std::string &id,
                                                                      time_point now) const;
 
-    /// Returns the pool of the instance with the lowest cost for the read, or null if there is none.
+    /// Returns the pool of the instance with the lowest score for the read, or null if there is none.
     [[nodiscard]] std::shared_ptr<instance_pool> choose_for_read(const read_requirements &requirements,
                                                                  time_point now) const;
 
@@ -133,8 +134,10 @@
     void record_answer(const std::string &id, const session::prompt &end, time_point sent_at);
 
     /// Count the statements of this process's sessions that are in flight to an instance.
-    void record_sent(const std::string &id);
-    void record_returned(const std::string &id);
+    void record_sent(const std::string &id, time_point sent_at);
+    void record_returned(const std::string &id, time_point sent_at);
+    /// Records how long a read of the label took until its answer arrived here.
+    void record_duration(const std::string &id, const std::string &label, time_point sent_at, time_point now);
     [[nodiscard]] std::string data_centre_of(const std::string &id) const;
 
     /// Records whether an answer of the instance to a caller's statement, or the lack of one, speaks for it.
@@ -190,9 +193,9 @@
         time_point excluded_until;
         status_request through_home;
         status_request direct;
-        std::uint32_t in_flight = 0;
-        bool refuses = false; ///< nothing listens at its address, or another instance does
-        bool failing = false; ///< a failure since its last answer was logged
+        std::multiset<time_point> sent; ///< when the statements in flight were sent
+        bool refuses = false;           ///< nothing listens at its address, or another instance does
+        bool failing = false;           ///< a failure since its last answer was logged
     };
     struct waiting_confirmation
     {
@@ -224,6 +227,7 @@
     group_identity identity_;
     replication::group_state state_;
     routing::outlier_detector outliers_;
+    routing::instance_score score_;
     std::map<std::string, member> members_;
     std::list<waiting_confirmation> confirmations_;
     std::list<condition_waiter> conditions_;
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -172,7 +172,7 @@
     execution_request.service = group_->identity().service;
     execution_request.instance = instance;
     execution_request.priority = request_.route->priority;
-    execution_request.label = request_.route->name + (request_.writes ? "/w" : "/r");
+    execution_request.label = label();
     execution_request.time_left = left(deadline_);
     execution_request.wait_left = left(slot_wait_until_);
     execution_request.values = session_->values();
@@ -191,19 +191,28 @@
     }
     if (!at_primary_)
         execution_request.floor = floor_;
-    group_->record_sent(instance);
+    group_->record_sent(instance, sent_at_);
     executor_->execute(vm, std::move(execution_request),
-                       [self = shared_from_this(), instance](const auto &answer) {
-                           self->group_->record_returned(instance);
+                       [self = shared_from_this(), instance, sent_at = sent_at_](const auto &answer) {
+                           self->group_->record_returned(instance, sent_at);
                            self->handle_answer(answer);
                        });
 }
 
+std::string statement_run::label() const
+{
+    return request_.route->name + (request_.writes ? "/w" : "/r");
+}
+
 void statement_run::handle_answer(const inner::execute_answer &answer)
 {
     if (answer.outcome == inner::execute_outcome::answered)
         group_->record_answer(instance_, answer.answer.end, sent_at_);
     judge_instance(answer);
+    // Only reads that any instance may serve tell how fast the instances are beside each other.
+    const bool comparable = !at_primary_ && !transaction_ && !request_.writes;
+    if (comparable && answer.outcome == inner::execute_outcome::answered && !answer.answer.error)
+        group_->record_duration(instance_, label(), sent_at_, clock_type::now());
     if (stage_ != stage::sent || abandoned_) {
         handle_late_answer(answer);
         return;
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -116,6 +116,7 @@
     [[nodiscard]] static std::chrono::milliseconds share_of(std::chrono::milliseconds time, double share);
     [[nodiscard]] bool needs_primary() const;
     [[nodiscard]] bool is_commit() const;
+    [[nodiscard]] std::string label() const;
     [[nodiscard]] bool changes_data() const;
     [[nodiscard]] time_point fresh_since() const;
     [[nodiscard]] std::optional<position> read_floor() const;
