--- a/src/support/json_fields.cpp
+++ b/src/support/json_fields.cpp
@@ -1,6 +1,7 @@
 #include "support/json_fields.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -39,6 +40,52 @@
     return 1 + static_cast<int>(std::count(text.begin(), end, '\n'));
 }
 
+/// Returns the end of the string literal that begins at the offset.
+std::size_t end_of_string(const std::string &text, std::size_t at)
+{
+    for (++at; at < text.size() && text[at] != '"'; ++at) {
+        if (text[at] == '\\')
+            ++at;
+    }
+    return at;
+}
+
+/// Returns the offset of the next field with this name, or `npos`; a value of the same text is none.
+std::size_t find_field(const std::string &text, const std::string &name, std::size_t from)
+{
+    const auto key = '"' + name + '"';
+    for (auto at = text.find(key, from); at != std::string::npos; at = text.find(key, at + 1)) {
+        const auto next = text.find_first_not_of(" \t\r\n", at + key.size());
+        if (next != std::string::npos && text[next] == ':')
+            return at;
+    }
+    return std::string::npos;
+}
+
+/// Returns the offset of an element of the list that begins next; none if it is shorter.
+std::optional<std::size_t> find_element(const std::string &text, std::size_t index, std::size_t from)
+{
+    auto at = text.find('[', from);
+    if (at == std::string::npos)
+        return std::nullopt;
+    int depth = 0;
+    for (; at < text.size(); ++at) {
+        const char it = text[at];
+        if (depth == 1 && index == 0 && it != '[' && it != ',' && it != ' ' && it != '\t' && it != '\r' &&
+            it != '\n')
+            return it == ']' ? std::nullopt : std::optional(at);
+        if (it == '"')
+            at = end_of_string(text, at);
+        else if (it == '[' || it == '{')
+            ++depth;
+        else if ((it == ']' || it == '}') && --depth == 0)
+            return std::nullopt;
+        else if (it == ',' && depth == 1)
+            --index;
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 bool is_nested_beyond(const json &value, std::size_t levels)
@@ -261,12 +308,13 @@
     bool found_any = false;
     while (std::getline(parts, part, '.')) {
         const auto index = part.find('[');
-        const auto key = '"' + part.substr(0, index) + '"';
-        const auto next = text.find(key, at);
+        const auto next = find_field(text, part.substr(0, index), at);
         if (next == std::string::npos)
             break;
         at = next + 1;
         found_any = true;
+        if (index != std::string::npos)
+            at = find_element(text, std::strtoul(part.c_str() + index + 1, nullptr, 10), at).value_or(at);
     }
     return found_any ? line_at(text, at) : 0;
 }
--- a/src/support/json_fields.h
+++ b/src/support/json_fields.h
@@ -98,7 +98,8 @@
 };
 
 /**
- * Returns the line of the text that contains the last key found of the dotted path, or 0 if none is found.
+ * Returns the line of the text that contains the last key found of the dotted path, or the element of a list
+ * where the path ends with one, for example `routes[2]`; 0 if none is found.
  */
 int line_of(const std::string &text, const std::string &path);
 
