Two messages carry tokens of quotas between processes

Cause: VMs that share a quota have to move its tokens.

Change: deposit_tokens (/qd) and withdraw_tokens (/qw) as flat CBOR arrays, one message for all workspaces whose pool is at the receiver. peer_task sends them over its links, ranks pools like homes without regard to data centres, and does not exclude a home for their short time-outs. A process of an earlier version refuses both streams. The decoders' tests cover both.

--- a/src/inner/stream_connection.cpp
+++ b/src/inner/stream_connection.cpp
@@ -33,14 +33,16 @@
     message_kind kind;
     const char *path;
 };
-constexpr std::array<kind_path, 8> kind_paths{{{message_kind::hello, "/hello"},
-                                               {message_kind::prove, "/prove"},
-                                               {message_kind::statement, "/statement"},
-                                               {message_kind::view, "/view"},
-                                               {message_kind::document, "/document"},
-                                               {message_kind::execute_statement, "/w"},
-                                               {message_kind::rollback_transaction, "/e"},
-                                               {message_kind::read_directory, "/d"}}};
+constexpr std::array<kind_path, 10> kind_paths{{{message_kind::hello, "/hello"},
+                                                {message_kind::prove, "/prove"},
+                                                {message_kind::statement, "/statement"},
+                                                {message_kind::view, "/view"},
+                                                {message_kind::document, "/document"},
+                                                {message_kind::execute_statement, "/w"},
+                                                {message_kind::rollback_transaction, "/e"},
+                                                {message_kind::read_directory, "/d"},
+                                                {message_kind::deposit_tokens, "/qd"},
+                                                {message_kind::withdraw_tokens, "/qw"}}};
 
 const char *path_of(message_kind kind)
 {
--- a/src/inner/stream_connection.h
+++ b/src/inner/stream_connection.h
@@ -24,7 +24,9 @@
     document,
     execute_statement,    ///< a statement for an instance whose connections the other side owns
     rollback_transaction, ///< rolls back a transaction on the other side
-    read_directory        ///< asks for what the other side last read from the store
+    read_directory,       ///< asks for what the other side last read from the store
+    deposit_tokens,       ///< deposits tokens of quotas with pools of the other side
+    withdraw_tokens       ///< withdraws such tokens
 };
 
 /// The outcome of a sent message.
--- a/src/pooler/pooler_task.cpp
+++ b/src/pooler/pooler_task.cpp
@@ -101,6 +101,8 @@
     case message_kind::execute_statement:
     case message_kind::rollback_transaction:
     case message_kind::read_directory:
+    case message_kind::deposit_tokens:
+    case message_kind::withdraw_tokens:
         return; // handled by the connection itself, or sent between proxies only
     }
 }
--- a/src/proxy/peer_task.cpp
+++ b/src/proxy/peer_task.cpp
@@ -63,6 +63,10 @@
         reply(inner::encode(wanted && directory_ ? directory_(wanted->part) : inner::directory_answer{}));
         return;
     }
+    if (kind == message_kind::deposit_tokens || kind == message_kind::withdraw_tokens) {
+        reply(quotas_ ? quotas_(kind, body) : std::string());
+        return;
+    }
     auto request = inner::decode_execute_request(body);
     if (kind != message_kind::execute_statement || !request) {
         support::log_warning("peer_message_unreadable", {{"bytes", std::to_string(body.size())}});
@@ -208,6 +212,40 @@
                 });
 }
 
+std::vector<std::string> peer_task::reachable_ranks(const std::string &name, time_point now) const
+{
+    std::vector<std::string> out;
+    for (const auto &vm : ranked_vms(name, {})) {
+        if (vm == self_.vm) {
+            out.emplace_back();
+            break;
+        }
+        if (!excluded(vm, now))
+            out.push_back(vm);
+    }
+    return out;
+}
+
+void peer_task::exchange(const std::string &vm, message_kind kind, std::string body,
+                         std::chrono::milliseconds timeout, inner::stream_connection::outcome_hook done)
+{
+    const std::weak_ptr<bool> alive = alive_;
+    links_.send(vm, kind, std::move(body), timeout,
+                [this, alive, vm, kind, done = std::move(done)](const auto &outcome) {
+                    if (alive.expired())
+                        return;
+                    auto &health = health_[vm];
+                    if (outcome.answered)
+                        health.last_received_at = clock_type::now();
+                    // A link without statements that does not answer may be partitioned, and must not deliver
+                    // the tokens once it recovers. With statements, their time-outs decide.
+                    else if (outcome.may_have_arrived && health.outstanding == 0 &&
+                             kind == message_kind::deposit_tokens)
+                        links_.drop(vm);
+                    done(outcome);
+                });
+}
+
 void peer_task::end_transaction(const std::string &vm, std::uint64_t transaction)
 {
     if (vm.empty()) {
--- a/src/proxy/peer_task.h
+++ b/src/proxy/peer_task.h
@@ -83,6 +83,19 @@
     /// not answer or has nothing to pass on.
     void read_directory(const support::address &from, inner::directory_part part, directory_hook done);
 
+    /// Returns the VMs that can be reached among the first ranks for the name, of all data centres; empty:
+    /// this process, whose later ranks are left out.
+    [[nodiscard]] std::vector<std::string> reachable_ranks(const std::string &name, time_point now) const;
+
+    /// Sends a message about quotas. A missing answer does not exclude the process as a home.
+    void exchange(const std::string &vm, inner::message_kind kind, std::string body,
+                  std::chrono::milliseconds timeout, inner::stream_connection::outcome_hook done);
+
+    using quota_hook = std::function<std::string(inner::message_kind kind, const std::string &body)>;
+
+    /// Sets the function that answers messages about quotas.
+    void set_quotas(quota_hook answer) { quotas_ = std::move(answer); }
+
     /// Stops accepting links; those that are open stay in use.
     void stop();
 
@@ -122,6 +135,7 @@
     std::map<std::uint64_t, accepted_link> accepted_links_;
     std::uint64_t last_owner_ = 0; ///< of an accepted link; 0 is this process
     std::function<inner::directory_answer(inner::directory_part)> directory_;
+    quota_hook quotas_;
     std::optional<support::listener> listener_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< callbacks keep a weak pointer to it
 };
--- a/tests/inner/test_decoders.cpp
+++ b/tests/inner/test_decoders.cpp
@@ -5,6 +5,7 @@
 #include "inner/execute_messages.h"
 #include "inner/lease_messages.h"
 #include "inner/message_codec.h"
+#include "inner/quota_messages.h"
 #include "platform/line_codec.h"
 #include "platform/metadata_client.h"
 #include "platform/record_codec.h"
@@ -110,6 +111,13 @@
              ignore(inner::decode_directory_answer(it));
              ignore(inner::decode_directory_request(it));
          }},
+        {"messages about quotas",
+         {inner::encode(inner::deposit_request{"front-1", {{1, 7}, {{"one", 19, milliseconds(0)}}, {}}}),
+          inner::encode(inner::token_list{{{"one", 1000, milliseconds(40)}}})},
+         [=](const auto &it) {
+             ignore(inner::decode_deposit_request(it));
+             ignore(inner::decode_token_list(it));
+         }},
         {"statement between entry and pooler",
          {inner::encode(inner::statement_request{})},
          [=](const auto &it) { ignore(inner::decode<inner::statement_request>(it)); }},
