Operations of workspaces with a quota take a token before they are sent

Cause: the quota of a workspace was read from the desired state and not enforced.

Sessions without a workspace, or of one without a quota, are not counted.

--- a/src/proxy/caller_task.h
+++ b/src/proxy/caller_task.h
@@ -30,6 +30,8 @@
     statement_executor *executor = nullptr;
     std::function<std::shared_ptr<group_task>(const std::string &service)> group_of;
     std::function<void()> directory_needed; ///< called while a caller waits for the first desired state
+    /// Takes a token of the workspace's quota for an operation.
+    std::function<void(const std::string &workspace, token_hook done)> take_token;
 };
 
 /**
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "quota/stock_bounds.h"
 #include "support/address.h"
 
 #include <chrono>
@@ -32,6 +33,7 @@
     /// While the desired state is older than `revocation_bound`, callers' keys are not accepted.
     bool strict_revocation = false;
     milliseconds revocation_bound{5000};
+    quota::tolerance quotas; ///< how far a workspace may exceed its quota
 };
 
 } // namespace baobabport::proxy
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -58,7 +58,8 @@
           return group == groups_.end() ? nullptr
                                         : group->second->pool_for_statements(instance, clock_type::now());
       }),
-      executor_(make_executor()), timer_(base, [this] { tick(); })
+      quotas_(base, settings_.process, quota_links()), executor_(make_executor()),
+      timer_(base, [this] { tick(); })
 {
     environment_ = {base_,
                     &routes_,
@@ -73,7 +74,9 @@
                     [this] {
                         desired_state_.read_now();
                         instance_list_.list_now();
-                    }};
+                    },
+                    [this](const auto &workspace, auto done) { quotas_.take(workspace, std::move(done)); }};
+    quotas_.account().set_tolerance(settings_.quotas, clock_type::now());
     if (settings_.promotion_orders) {
         promotion_client_.emplace(base_, *settings_.promotion_orders);
         election_.emplace(base_, store_, settings_);
@@ -136,6 +139,7 @@
     log_event("desired_state_applied",
               {{"version", std::to_string(version)}, {"routes", std::to_string(routes)}});
     keys_.apply(routes_.state());
+    quotas_.account().apply(routes_.state().workspaces, clock_type::now());
     update_groups();
     for (const auto &it : sessions())
         it->check_key();
@@ -200,6 +204,7 @@
     const auto now = clock_type::now();
     tick_leadership(now);
     tick_peers(now);
+    tick_quotas(now);
     const bool urgent = std::any_of(groups_.begin(), groups_.end(),
                                     [](const auto &it) { return it.second->waits_for_primary(); });
     const bool list_changes = !member_log_.complete() || now - members_changed_at_ < list_change_period;
@@ -281,6 +286,8 @@
     settings_.drain_bound = settings.drain_bound;
     settings_.strict_revocation = settings.strict_revocation;
     settings_.revocation_bound = settings.revocation_bound;
+    settings_.quotas = settings.quotas;
+    quotas_.account().set_tolerance(settings.quotas, clock_type::now());
     desired_state_.set_bound(settings.configuration_bound);
     instances_.set_drain_bound(settings.drain_bound);
     if (settings.store.text() != settings_.store.text()) {
@@ -323,6 +330,7 @@
                  static_cast<double>(local_executor_.open_transactions()));
     metrics_.set("baobabport_holds_failover_duty", "",
                  election_ && election_->acting_generation(now) ? 1 : 0);
+    quotas_.write_metrics(metrics_, now);
     for (const auto &[service, group] : groups_) {
         const auto labels = support::label("service", service);
         metrics_.set("baobabport_group_term", labels, static_cast<double>(group->state().term()));
@@ -332,7 +340,7 @@
     }
 }
 
-std::string proxy_task::state_dump() const
+std::string proxy_task::state_dump()
 {
     json out{{"process", settings_.process},
              {"ready", ready()},
@@ -350,6 +358,8 @@
                                  {"term", group->state().term()},
                                  {"members", members}});
     }
+    if (!quotas_.account().empty())
+        out["quotas"] = quotas_.state(clock_type::now());
     return out.dump();
 }
 
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -22,6 +22,7 @@
 #include "proxy/local_executor.h"
 #include "proxy/peer_task.h"
 #include "proxy/proxy_settings.h"
+#include "proxy/quota_task.h"
 #include "proxy/store_tasks.h"
 #include "support/metrics.h"
 
@@ -92,8 +93,10 @@
     [[nodiscard]] milliseconds store_unresponsive_for(time_point now) const;
     void handle_lease_answer(const inner::lease_answer &answer, time_point requested_at);
     std::shared_ptr<group_task> group_of(const std::string &service);
+    quota_task::link_hooks quota_links();
+    void tick_quotas(time_point now);
     [[nodiscard]] bool ready() const;
-    [[nodiscard]] std::string state_dump() const;
+    [[nodiscard]] std::string state_dump();
     void refresh_gauges();
     void answer_admin(const http::server_request &request, http::responder &answer);
     [[nodiscard]] std::uint32_t connection_limit(const std::string &service) const;
@@ -128,6 +131,7 @@
     std::vector<inner::member> known_members_;
     time_point members_changed_at_;
     std::uint64_t members_version_ = 0; ///< of `membership_`, or of an older build's list
+    quota_task quotas_;
     statement_executor executor_;
     session_environment environment_;
     /// Any call of a session may end it or others, which erases them: loops go over `sessions()`.
--- a/src/proxy/proxy_task_peers.cpp
+++ b/src/proxy/proxy_task_peers.cpp
@@ -6,6 +6,7 @@
 #include "support/boot_clock.h"
 #include "support/json_log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace baobabport::proxy {
@@ -68,6 +69,8 @@
             base_,
             peer_identity{settings_.process, settings_.data_centre, settings_.peers, election_->peer_key()},
             local_executor_);
+        peers_->set_quotas(
+            [this](auto kind, const auto &body) { return quotas_.answer(kind, body, clock_type::now()); });
         peers_->set_directory([this](auto part) { return directory(part); });
         peers_->set_members(known_members_);
     }
@@ -80,10 +83,44 @@
     members_version_ = version;
     members.push_back({settings_.process, settings_.data_centre, settings_.peers.text()});
     member_log_.update(members);
-    election_->set_fleet_size(members.size());
+    election_->set_fleet_size(std::max<std::size_t>(
+        members.size(), quotas_.account().empty() ? 0 : quotas_.account().divisor().value_or(0)));
     update_members(std::move(members));
 }
 
+quota_task::link_hooks proxy_task::quota_links()
+{
+    return {[this](const auto &name) {
+                auto out = peers_ ? peers_->reachable_ranks(name, clock_type::now())
+                                  : std::vector<std::string>{std::string()};
+                // The others do not list a process that stops.
+                if (draining_since_ && out.size() > 1)
+                    std::erase(out, std::string());
+                return out;
+            },
+            [this](const auto &vm, auto kind, auto body, auto timeout, auto done) {
+                peers_->exchange(vm, kind, std::move(body), timeout, std::move(done));
+            }};
+}
+
+void proxy_task::tick_quotas(time_point now)
+{
+    auto &fleet = quotas_.account().fleet();
+    if (!election_) {
+        fleet.set_alone();
+    } else {
+        fleet.record_size(election_->recorded_fleet_size());
+        if (election_->acting_generation(now)) {
+            fleet.record_contact(now);
+            // A process that starts while others are separated from this one must count them, too.
+            if (!quotas_.account().empty())
+                election_->set_fleet_size(
+                    std::max<std::size_t>(known_members_.size(), quotas_.account().divisor().value_or(0)));
+        }
+    }
+    quotas_.tick(now);
+}
+
 void proxy_task::update_members(std::vector<inner::member> members)
 {
     const bool homes_were_known = !known_members_.empty();
@@ -93,6 +130,8 @@
         update_groups(); // with the connection limit of a home
     if (peers_)
         peers_->set_members(known_members_);
+    quotas_.account().fleet().record_list(known_members_.size(), members_changed_at_);
+    quotas_.deposit_soon();
     log_event("members_known", {{"members", std::to_string(known_members_.size())}});
 }
 
@@ -294,6 +333,7 @@
     }
     if (!answer.acting)
         return;
+    quotas_.account().fleet().record_contact(requested_at);
     apply_directory_report(answer, asked_at);
     copy_members(answer);
     for (const auto &it : answer.leases) {
--- a/src/proxy/settings_file.cpp
+++ b/src/proxy/settings_file.cpp
@@ -3,6 +3,7 @@
 #include "support/json_fields.h"
 
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -51,6 +52,22 @@
         out = milliseconds(static_cast<std::int64_t>(value_ms));
 }
 
+/// Reads a number of at least 0 given as a string.
+void read_number(support::json_fields &fields, const char *name, double most, double &out)
+{
+    std::string text;
+    fields.text(name, text, false);
+    if (text.empty())
+        return;
+    double value = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (ec != std::errc() || end != text.data() + text.size() || !(value >= 0 && value <= most))
+        fields.fail(name, '"' + text + '"',
+                    "a number in quotes, from 0 to " + std::to_string(std::lround(most)));
+    else
+        out = value;
+}
+
 /// Reads a truth value given as a string.
 void read_flag(support::json_fields &fields, const char *name, bool &out)
 {
@@ -97,6 +114,11 @@
     read_time(fields, "shortest_store_lease_ms", ms, out.shortest_store_lease);
     read_time(fields, "revoke_ms", ms, out.revocation_bound);
     read_flag(fields, "strict_revocation", out.strict_revocation);
+    constexpr double most_overage = 10;
+    constexpr double most_slack = 1e6;
+    read_time(fields, "quota_window_s", s, out.quotas.window);
+    read_number(fields, "quota_overage", most_overage, out.quotas.overage);
+    read_number(fields, "quota_slack", most_slack, out.quotas.slack);
     fields.finish();
     if (error) {
         error->line = support::line_of(text, error->path);
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -154,6 +154,8 @@
 
 void statement_run::send(const std::string &vm, const std::string &instance)
 {
+    if (!take_token(instance))
+        return;
     vm_ = vm;
     instance_ = instance;
     stage_ = stage::sent;
@@ -202,6 +204,7 @@
         handle_late_answer(answer);
         return;
     }
+    spend_token(answer);
     if (transaction_) {
         if (answer.outcome != inner::execute_outcome::answered)
             drop_transaction(); // it may still be open at its home
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -35,6 +35,9 @@
     bool wrote = false;
 };
 
+/// Receives why a statement gets no token of its workspace's quota, or none.
+using token_hook = std::function<void(const std::optional<std::string> &refusal)>;
+
 /// Result of a caller's statement.
 struct run_result
 {
@@ -57,6 +60,8 @@
     std::shared_ptr<const directory::route> route;
     time_point arrived_at;
     std::string workspace; ///< of the session; empty: none
+    /// Takes a token of the workspace's quota; null: the statement needs none.
+    std::function<void(token_hook)> take_token;
 };
 
 /**
@@ -122,6 +127,12 @@
     void choose();
     void choose_primary();
     void choose_reader();
+    /// Returns true if the next attempt has a token, or needs none. Otherwise it selects an instance again,
+    /// or refuses the statement, once this is known.
+    bool take_token(const std::string &instance);
+    void handle_token(const std::optional<std::string> &refusal);
+    /// Spends the token if an instance may have run the statement: a repetition counts for the quota, too.
+    void spend_token(const inner::execute_answer &answer);
     void send(const std::string &vm, const std::string &instance);
     void handle_answer(const inner::execute_answer &answer);
     void log_failed_attempt(const char *outcome, const std::string &detail) const;
@@ -159,6 +170,8 @@
     time_point sent_at_;
     run_result result_;
     bool abandoned_ = false;
+    bool awaits_token_ = false; ///< `take_token` has returned without one
+    bool has_token_ = false;    ///< of the workspace's quota, for the next attempt
     std::unique_ptr<inner::timer> retry_timer_;
 };
 
--- a/src/support/metrics.cpp
+++ b/src/support/metrics.cpp
@@ -123,6 +123,11 @@
     gauges_[{name, labels}] = value;
 }
 
+void metrics::remove(const std::string &name, const std::string &labels)
+{
+    gauges_.erase({name, labels});
+}
+
 void metrics::record(const std::string &name, const std::string &labels, std::chrono::microseconds value)
 {
     histograms_[{name, labels}].record(value);
--- a/src/support/metrics.h
+++ b/src/support/metrics.h
@@ -55,6 +55,8 @@
     void count(const std::string &name, const std::string &labels, std::uint64_t n = 1);
     void set(const std::string &name, const std::string &labels, double value);
     void record(const std::string &name, const std::string &labels, std::chrono::microseconds value);
+    /// Removes a gauge.
+    void remove(const std::string &name, const std::string &labels);
 
     /**
      * Returns all metrics as Prometheus text.
--- a/tests/proxy/test_settings_file.cpp
+++ b/tests/proxy/test_settings_file.cpp
@@ -37,6 +37,20 @@
     CHECK(settings->configuration_bound == proxy_settings{}.configuration_bound);
 }
 
+// Guards against a bound of the platform that is read in another unit, or left out when it is not defined.
+TEST_CASE("the tolerance of quotas is read, and has its default while the VM does not define it")
+{
+    std::string reason;
+    const std::string fields = R"("quota_window_s": "2.5", "quota_overage": "0.25", "quota_slack": "", )";
+    const auto settings = read_proxy_settings(with("\"process\"", fields + "\"process\""), reason);
+    REQUIRE(settings);
+    CHECK(settings->quotas.window == milliseconds(2500));
+    CHECK(settings->quotas.overage == 0.25);
+    CHECK(settings->quotas.slack == 20);
+    CHECK_FALSE(read_proxy_settings(with("\"process\"", R"("quota_overage": "-1", "process")"), reason));
+    CHECK(reason.find("quota_overage") != std::string::npos);
+}
+
 TEST_CASE("invalid settings are rejected with the name of the setting")
 {
     std::string reason;
