Operations that no instance has run return their tokens

Cause: a statement that every instance shed had used a token, and its caller's repetition at another VM used the next one. A process that stops regarded itself as a pool, since ranks after its own were left out.

Change: a statement that ends without having run returns its token, which goes to the pool with the next deposit. reachable_ranks lists all ranks. A process whose list keeps changing begins to issue after 3 s. A test of three processes on loopback needs tokens of the others.

--- a/src/proxy/caller_task.cpp
+++ b/src/proxy/caller_task.cpp
@@ -349,10 +349,14 @@
     if (!admit(*request.route))
         return;
     request.workspace = request.route->is_public ? std::string() : workspace_;
-    if (!request.workspace.empty() && environment_.take_token)
+    if (!request.workspace.empty() && environment_.take_token) {
+        request.return_token = [give = environment_.return_token, workspace = request.workspace] {
+            give(workspace);
+        };
         request.take_token = [take = environment_.take_token, workspace = request.workspace](auto done) {
             take(workspace, std::move(done));
         };
+    }
     if (what.kind == statement_kind::execute) {
         const auto *const prepared = session_->find_prepared(what.name);
         if (!prepared) {
--- a/src/proxy/caller_task.h
+++ b/src/proxy/caller_task.h
@@ -32,6 +32,7 @@
     std::function<void()> directory_needed; ///< called while a caller waits for the first desired state
     /// Takes a token of the workspace's quota for an operation.
     std::function<void(const std::string &workspace, token_hook done)> take_token;
+    std::function<void(const std::string &workspace)> return_token;
 };
 
 /**
--- a/src/proxy/peer_task.cpp
+++ b/src/proxy/peer_task.cpp
@@ -216,11 +216,9 @@
 {
     std::vector<std::string> out;
     for (const auto &vm : ranked_vms(name, {})) {
-        if (vm == self_.vm) {
+        if (vm == self_.vm)
             out.emplace_back();
-            break;
-        }
-        if (!excluded(vm, now))
+        else if (!excluded(vm, now))
             out.push_back(vm);
     }
     return out;
--- a/src/proxy/peer_task.h
+++ b/src/proxy/peer_task.h
@@ -84,7 +84,7 @@
     void read_directory(const support::address &from, inner::directory_part part, directory_hook done);
 
     /// Returns the VMs that can be reached among the first ranks for the name, of all data centres; empty:
-    /// this process, whose later ranks are left out.
+    /// this process.
     [[nodiscard]] std::vector<std::string> reachable_ranks(const std::string &name, time_point now) const;
 
     /// Sends a message about quotas. A missing answer does not exclude the process as a home.
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -75,7 +75,8 @@
                         desired_state_.read_now();
                         instance_list_.list_now();
                     },
-                    [this](const auto &workspace, auto done) { quotas_.take(workspace, std::move(done)); }};
+                    [this](const auto &workspace, auto done) { quotas_.take(workspace, std::move(done)); },
+                    [this](const auto &workspace) { quotas_.account().return_token(workspace); }};
     quotas_.account().set_tolerance(settings_.quotas, clock_type::now());
     if (settings_.promotion_orders) {
         promotion_client_.emplace(base_, *settings_.promotion_orders);
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -401,6 +401,7 @@
 
 void statement_run::finish()
 {
+    return_token();
     stage_ = stage::finished;
     result_.instance = instance_;
     result_.ends_transaction = transaction_ && is_commit();
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -62,6 +62,7 @@
     std::string workspace; ///< of the session; empty: none
     /// Takes a token of the workspace's quota; null: the statement needs none.
     std::function<void(token_hook)> take_token;
+    std::function<void()> return_token; ///< returns a token that was not used
 };
 
 /**
@@ -133,6 +134,8 @@
     void handle_token(const std::optional<std::string> &refusal);
     /// Spends the token if an instance may have run the statement: a repetition counts for the quota, too.
     void spend_token(const inner::execute_answer &answer);
+    /// Returns a token that the statement holds and certainly has not used.
+    void return_token();
     void send(const std::string &vm, const std::string &instance);
     void handle_answer(const inner::execute_answer &answer);
     void log_failed_attempt(const char *outcome, const std::string &detail) const;
--- a/src/proxy/statement_run_quota.cpp
+++ b/src/proxy/statement_run_quota.cpp
@@ -2,6 +2,8 @@
 
 #include "proxy/statement_run.h"
 
+#include <utility>
+
 namespace baobabport::proxy {
 
 bool statement_run::take_token(const std::string &instance)
@@ -27,9 +29,12 @@
 
 void statement_run::handle_token(const std::optional<std::string> &refusal)
 {
-    if (!refusal)
+    const bool ended = stage_ != stage::waiting || abandoned_;
+    if (!refusal && ended && request_.return_token)
+        request_.return_token();
+    else if (!refusal)
         has_token_ = true;
-    else if (stage_ == stage::waiting && !abandoned_)
+    else if (!ended)
         fail(session::answer_code::busy, *refusal); // nothing has run, except possibly a read
 }
 
@@ -42,4 +47,11 @@
         has_token_ = false;
 }
 
+void statement_run::return_token()
+{
+    const bool unused = std::exchange(has_token_, false) && stage_ == stage::waiting;
+    if (unused && request_.return_token)
+        request_.return_token();
+}
+
 } // namespace baobabport::proxy
--- a/src/quota/fleet_size.cpp
+++ b/src/quota/fleet_size.cpp
@@ -9,6 +9,7 @@
     if (!sizes_.empty() && sizes_.back().members == members)
         return;
     changed_at_ = now;
+    listed_at_ = listed_at_.value_or(now);
     if (!sizes_.empty())
         sizes_.back().replaced_at = now;
     while (!sizes_.empty() && sizes_.back().members <= members)
@@ -31,7 +32,8 @@
         sizes_.pop_front();
     const auto listed = static_cast<std::uint32_t>(std::max<std::size_t>(1, sizes_.front().members));
     if (!settled_) {
-        if (recorded_ < listed && now - changed_at_ < settling_time)
+        if (recorded_ < listed && now - changed_at_ < settling_time &&
+            now - *listed_at_ < longest_settling_time)
             return std::nullopt;
         settled_ = true;
     }
--- a/src/quota/fleet_size.h
+++ b/src/quota/fleet_size.h
@@ -27,6 +27,8 @@
     /// A process that the recorded size does not cover issues nothing until the list has been unchanged for
     /// this long: the others learn of it within this time.
     static constexpr milliseconds settling_time{1000};
+    /// Or until it has known the list for this long: the others know this process, whatever else changes.
+    static constexpr milliseconds longest_settling_time{3000};
 
     explicit fleet_size(time_point started_at) : started_at_(started_at) {}
 
@@ -59,6 +61,7 @@
     bool settled_ = false; ///< it has issued before
     std::optional<time_point> contact_at_;
     time_point changed_at_;
+    std::optional<time_point> listed_at_; ///< when the first list was known
     /// The last entry is the current size; each earlier one is larger than those after it.
     std::deque<listed_size> sizes_;
 };
--- a/src/quota/quota_account.cpp
+++ b/src/quota/quota_account.cpp
@@ -57,7 +57,7 @@
         return !same;
     });
     for (const auto &[name, workspace] : limited) {
-        auto &it = entries_.try_emplace(name, entry{{}, {}, local_bucket(now), {}, 0, 0}).first->second;
+        auto &it = entries_.try_emplace(name, entry{{}, {}, local_bucket(now), {}, 0, 0, 0}).first->second;
         it.limit = *workspace->limit;
         it.key_hashes = workspace->key_hashes;
         apply_bounds(name, it, now);
@@ -129,6 +129,15 @@
     return out;
 }
 
+void quota_account::return_token(const std::string &workspace)
+{
+    const auto it = entries_.find(workspace);
+    if (it == entries_.end())
+        return;
+    it->second.returned += milli;
+    --it->second.admitted;
+}
+
 void quota_account::record_refusal(const std::string &workspace)
 {
     if (const auto it = entries_.find(workspace); it != entries_.end())
@@ -147,15 +156,27 @@
 std::map<std::string, pool_deposit> quota_account::collect_deposits(const target_hook &target, time_point now)
 {
     std::map<std::string, pool_deposit> out;
-    if (divisor_ == 1U || entries_.empty())
-        return out; // the local bucket holds the whole burst
+    if (divisor_ == 1U) {
+        // The local bucket holds the whole burst.
+        for (auto &[name, it] : entries_) {
+            it.bucket.add(static_cast<double>(std::exchange(it.returned, 0)) / milli);
+            it.bucket.trim();
+        }
+        return out;
+    }
+    if (entries_.empty())
+        return out;
     std::array<std::optional<std::string>, group_count> targets;
     for (std::size_t group = 0; group < group_count; ++group)
         targets[group] = target(group);
     for (auto &[name, it] : entries_) {
         const auto &vm = targets[group_of(name)];
         it.bucket.issue(now);
-        if (!vm || now < it.paused_until)
+        if (!vm)
+            continue;
+        if (const auto returned = std::exchange(it.returned, 0); returned > 0)
+            out[*vm].released.push_back({name, returned, milliseconds(0)});
+        if (now < it.paused_until)
             continue;
         if (const auto surplus = it.bucket.remove_surplus(now); surplus > 0)
             out[*vm].tokens.push_back({name, surplus, milliseconds(0)});
--- a/src/quota/quota_account.h
+++ b/src/quota/quota_account.h
@@ -22,7 +22,8 @@
 {
     std::vector<std::size_t> endorsed; ///< groups, see `token_pool::endorse`
     std::vector<token_amount> tokens;
-    std::vector<token_amount> released; ///< by pools of the sender that another VM is to replace
+    /// By pools of the sender that another VM is to replace, or returned by operations.
+    std::vector<token_amount> released;
 };
 
 /// Tokens that a VM asks for on behalf of operations.
@@ -94,6 +95,10 @@
     /// Ends a withdrawal that got that many milli-tokens. Returns how many of its operations have a token.
     [[nodiscard]] std::size_t end_withdrawal(const withdrawal &it, std::int64_t milli_tokens, time_point now);
 
+    /// Returns the token of an operation that no instance has run. It goes to the pool with the next deposit,
+    /// since the bound of a VM may be less than a token.
+    void return_token(const std::string &workspace);
+
     /// Counts a refused operation.
     void record_refusal(const std::string &workspace);
 
@@ -127,6 +132,7 @@
         std::vector<std::string> key_hashes;
         local_bucket bucket;
         time_point paused_until;
+        std::int64_t returned = 0; ///< milli-tokens that operations have not used
         std::uint64_t admitted = 0;
         std::uint64_t refused = 0;
     };
--- a/tests/proxy/test_quota_count.cpp
+++ b/tests/proxy/test_quota_count.cpp
@@ -111,3 +111,36 @@
     it.ask("BEGIN");
     CHECK(it.ask("WRITE x 1").starts_with("ERROR BUSY"));
 }
+
+// Guards against tokens that never arrive over the links: more than a process issues itself must come from
+// pools.
+TEST_CASE("processes lend each other what their callers do not use of a quota")
+{
+    proxy_site site;
+    std::vector<support::address> admins;
+    std::vector<std::unique_ptr<proxy::proxy_task>> others;
+    support::address callers;
+    for (const auto *const name : {"front-2", "front-3"}) {
+        auto settings = site.settings_of(name);
+        settings.admin = free_address();
+        admins.push_back(*settings.admin);
+        callers = settings.callers;
+        others.push_back(std::make_unique<proxy::proxy_task>(site.base, settings, [] {}));
+    }
+    auto state = json::parse(site.store->value("op/config"));
+    state["version"] = 2;
+    state["tenants"] = json::array();
+    for (const auto *const name : {"one", "two", "three", "four"})
+        state["tenants"].push_back({{"name", name}, {"api_keys", {name}}, {"rate_per_s", 60}, {"burst", 60}});
+    site.store->put("op/config", state.dump());
+    site.run_for(std::chrono::milliseconds(4000));
+    for (const auto *const name : {"one", "two", "three", "four"}) {
+        test_caller caller(site.base, callers);
+        caller.send(std::string("CONNECT main ") + name + "\r\n");
+        REQUIRE(site.run_until([&caller] { return !caller.lines.empty(); }));
+        // A process issues 20 a second and keeps at most 10.
+        for (int n = 0; n < 40; ++n)
+            CHECK(site.ask(caller, "READ x").find("COMPLETE") != std::string::npos);
+    }
+    others.clear();
+}
--- a/tests/quota/test_quota_account.cpp
+++ b/tests/quota/test_quota_account.cpp
@@ -119,6 +119,17 @@
     CHECK(replaced.empty());
 }
 
+// Guards against callers who pay for operations that no instance has run.
+TEST_CASE("a returned token is available again, within the bound")
+{
+    auto account = lone_account(10, 2);
+    const auto later = start + milliseconds(1000);
+    CHECK(takes(account, later) == 2);
+    account.return_token("one");
+    CHECK(account.collect_deposits([](auto) { return std::nullopt; }, later).empty());
+    CHECK(takes(account, later) == 1);
+}
+
 // Guards against two full pools of one workspace, on both sides of a partition.
 TEST_CASE("a pool keeps the share of the VMs that endorse it")
 {
