--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -157,6 +157,8 @@
 
 void statement_run::send(const std::string &vm, const std::string &instance)
 {
+    if (!take_token(instance))
+        return;
     vm_ = vm;
     instance_ = instance;
     stage_ = stage::sent;
@@ -217,6 +219,7 @@
         handle_late_answer(answer);
         return;
     }
+    spend_token(answer);
     if (transaction_) {
         if (answer.outcome != inner::execute_outcome::answered)
             drop_transaction(); // it may still be open at its home
@@ -315,6 +318,7 @@
 
 void statement_run::finish()
 {
+    return_token();
     stage_ = stage::finished;
     result_.instance = instance_;
     result_.ends_transaction = transaction_ && is_commit();
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -35,6 +35,9 @@
     bool wrote = false;
 };
 
+/// Receives why a statement gets no token of its workspace's quota, or none.
+using token_hook = std::function<void(const std::optional<std::string> &refusal)>;
+
 /// Result of a caller's statement.
 struct run_result
 {
@@ -57,6 +60,9 @@
     std::shared_ptr<const directory::route> route;
     time_point arrived_at;
     std::string workspace; ///< of the session; empty: none
+    /// Takes a token of the workspace's quota; null: the statement needs none.
+    std::function<void(token_hook)> take_token;
+    std::function<void()> return_token; ///< returns a token that was not used
 };
 
 /**
@@ -129,6 +135,14 @@
     void choose_primary();
     void choose_reader();
     void offer_to_reader();
+    /// Returns true if the next attempt has a token, or needs none. Otherwise it selects an instance again,
+    /// or refuses the statement, once this is known.
+    bool take_token(const std::string &instance);
+    void handle_token(const std::optional<std::string> &refusal);
+    /// Spends the token if an instance may have run the statement: a repetition counts for the quota, too.
+    void spend_token(const inner::execute_answer &answer);
+    /// Returns a token that the statement holds and certainly has not used.
+    void return_token();
     void send(const std::string &vm, const std::string &instance);
     void handle_answer(const inner::execute_answer &answer);
     void judge_instance(const inner::execute_answer &answer);
@@ -174,6 +188,8 @@
     run_result result_;
     bool abandoned_ = false;
     std::optional<session::failure> revoked_; ///< the answer in place of a further attempt
+    bool awaits_token_ = false; ///< `take_token` has returned without one
+    bool has_token_ = false;    ///< of the workspace's quota, for the next attempt
     std::unique_ptr<inner::timer> retry_timer_;
 };
 
--- a/src/routing/offer_history.h
+++ b/src/routing/offer_history.h
@@ -30,6 +30,9 @@
     void record_offer(const std::string &instance) { offers_[instance] = {offer_end::failed, true}; }
     void record_end(const std::string &instance, offer_end end);
 
+    /// Removes an offer that was not made after all.
+    void cancel(const std::string &instance) { offers_.erase(instance); }
+
     /// Returns the instances that are not to be asked in the present round.
     [[nodiscard]] std::set<std::string> excluded() const;
 
