The home of a cold instance limits its concurrent statements

An instance that has started, or has come back, got as many statements at once as a warm one, which then waited in its own queue.

`admission::warm_up` limits the running statements of one instance: from 1, by one for each window of answers that take at most twice the mean of the warm instance, halved by sheds and time-outs, until slots + 1, the instance's promotion, or 10 s. `group_task` starts it when an instance joins a service that is known, restarts, or answers again after 1 s, or has a hint when it first appears; not for the primary, and not for instances that a starting process lists. A scheduler without it behaves as before.

In the tests, an instance that answers 5 times slower gets one statement at a time, and one that is called cold wrongly runs all its statements within 500 ms.

--- a/src/admission/duration_estimator.cpp
+++ b/src/admission/duration_estimator.cpp
@@ -53,6 +53,11 @@
     return std::chrono::microseconds(static_cast<std::int64_t>(it->second.mean));
 }
 
+bool duration_estimator::knows(const std::string &label) const
+{
+    return labels_.count(label) > 0 || labels_.count(shared_label) > 0;
+}
+
 bool duration_estimator::is_long(const std::string &label, std::chrono::milliseconds threshold) const
 {
     return expected(label) >= threshold;
--- a/src/admission/duration_estimator.h
+++ b/src/admission/duration_estimator.h
@@ -30,6 +30,9 @@
     /// Reports that a statement still runs after `so_far`; used only while the label has few samples.
     void running(const std::string &label, std::chrono::microseconds so_far);
 
+    /// Returns true if a statement of the label has finished, or one that shares its estimate.
+    [[nodiscard]] bool knows(const std::string &label) const;
+
     /**
      * Returns the expected time, or a default for a label without an estimate.
      */
--- a/src/admission/slot_scheduler.cpp
+++ b/src/admission/slot_scheduler.cpp
@@ -32,7 +32,7 @@
 
 slot_decision slot_scheduler::submit(const slot_request &request, time_point now)
 {
-    if (has_capacity() && queue_.length() == 0) {
+    if (has_capacity(now) && queue_.length() == 0) {
         start(request.key, request.label, now);
         return slot_decision::run;
     }
@@ -56,7 +56,7 @@
         it->second.since = now;
 }
 
-void slot_scheduler::finished(std::uint64_t key, bool answered, time_point now)
+void slot_scheduler::finished(std::uint64_t key, bool answered, time_point now, bool refused)
 {
     const auto it = running_.find(key);
     if (it == running_.end())
@@ -64,14 +64,18 @@
     if (answered) {
         const auto took = std::chrono::duration_cast<std::chrono::microseconds>(now - it->second.since);
         estimator_.finished(it->second.label, took);
+        if (!refused)
+            warm_up_.record_answer(it->second.label, took, now);
     }
+    if (refused)
+        warm_up_.record_refusal();
     running_.erase(it);
 }
 
 std::vector<std::uint64_t> slot_scheduler::next(time_point now)
 {
     std::vector<std::uint64_t> out;
-    while (has_capacity()) {
+    while (has_capacity(now)) {
         const auto it = queue_.pop([](const auto &) { return true; }, queue_limits(), now);
         if (!it)
             break;
@@ -91,10 +95,10 @@
 
 std::chrono::microseconds slot_scheduler::expected_wait(std::uint32_t priority, time_point now) const
 {
-    if (has_capacity() && queue_.length() == 0)
+    if (has_capacity(now) && queue_.length() == 0)
         return std::chrono::microseconds(0);
     const auto work = queue_.slot_time_ahead(kind_of(priority, false)) + remaining_running_time(now);
-    return work / std::max(1U, slots_);
+    return work / std::max(1U, std::min(slots_, warm_up_.limit(now)));
 }
 
 std::chrono::microseconds slot_scheduler::remaining_running_time(time_point now) const
--- a/src/admission/slot_scheduler.h
+++ b/src/admission/slot_scheduler.h
@@ -4,6 +4,7 @@
 
 #include "admission/duration_estimator.h"
 #include "admission/request_queue.h"
+#include "admission/warm_up.h"
 
 #include <chrono>
 #include <cstdint>
@@ -40,9 +41,17 @@
     /// Statements sent beyond the number of slots, to hide the latency between an answer and the next start.
     static constexpr std::uint32_t max_beyond_slots = 1;
 
-    explicit slot_scheduler(std::uint32_t slots) : slots_(slots) {}
+    explicit slot_scheduler(std::uint32_t slots) { set_slots(slots); }
 
-    void set_slots(std::uint32_t slots) { slots_ = slots; }
+    void set_slots(std::uint32_t slots)
+    {
+        slots_ = slots;
+        warm_up_.set_full_limit(slots + max_beyond_slots);
+    }
+
+    /// Limits the running statements of a cold instance; see `warm_up`.
+    [[nodiscard]] warm_up &cold_limit() { return warm_up_; }
+    [[nodiscard]] const warm_up &cold_limit() const { return warm_up_; }
 
     /// Submits a statement; it runs now, waits until `next` or `expired` returns it, or is refused.
     slot_decision submit(const slot_request &request, time_point now);
@@ -50,8 +59,9 @@
     /// Records that a running statement has got its connection; its duration counts from now.
     void connected(std::uint64_t key, time_point now);
 
-    /// Records the end of a running statement. Its duration is a sample only if it was answered.
-    void finished(std::uint64_t key, bool answered, time_point now);
+    /// Records the end of a running statement. Its duration is a sample only if it was answered. `refused`:
+    /// the instance shed it, or did not answer it in time.
+    void finished(std::uint64_t key, bool answered, time_point now, bool refused = false);
 
     /// Returns the waiting statements to start now.
     std::vector<std::uint64_t> next(time_point now);
@@ -72,13 +82,14 @@
         time_point since;
     };
 
-    [[nodiscard]] bool has_capacity() const { return running_.size() < slots_ + max_beyond_slots; }
+    [[nodiscard]] bool has_capacity(time_point now) const { return running_.size() < warm_up_.limit(now); }
     [[nodiscard]] std::chrono::microseconds remaining_running_time(time_point now) const;
     void start(std::uint64_t key, const std::string &label, time_point now);
 
     std::uint32_t slots_;
     request_queue queue_;
     duration_estimator estimator_;
+    warm_up warm_up_;
     std::unordered_map<std::uint64_t, running_statement> running_;
 };
 
--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -32,10 +32,14 @@
             if (known.pool)
                 known.pool->retire();
             known.pool = make_pool(it, limit);
+            // When this process starts, an instance that it does not know may have run for long.
+            if (listed_ || it.warm_up > std::chrono::milliseconds(0))
+                begin_cold(it.id, *known.pool, listed_ ? "joined" : "hint");
         }
         known.pool->set_limit(limit);
         known.pool->set_slots(it.slots);
     }
+    listed_ = listed_ || !records.empty();
     outliers_.set_instances(present);
     score_.set_instances(present);
     for (auto it = members_.begin(); it != members_.end();) {
@@ -62,6 +66,14 @@
     pool->retire();
 }
 
+void group_task::begin_cold(const std::string &id, instance_pool &pool, const char *reason)
+{
+    if (state_.primary() == id)
+        return; // nobody else runs its statements
+    pool.set_cold_since(clock_type::now());
+    log_event("instance_cold", {{"service", identity_.service}, {"instance", id}, {"reason", reason}});
+}
+
 std::shared_ptr<instance_pool> group_task::make_pool(const directory::instance_record &record,
                                                      std::uint32_t limit)
 {
@@ -81,10 +93,14 @@
                 it.unanswered_since = clock_type::now();
         });
     };
-    health.answered = [with_member] {
-        with_member([](member &it) {
+    health.answered = [with_member, weak] {
+        with_member([&weak](member &it) {
+            const auto now = clock_type::now();
+            const auto self = weak.lock();
+            if (self && it.unanswered_since && now - *it.unanswered_since >= silence_before_cold)
+                (*self)->begin_cold(it.record.id, *it.pool, "answers again");
             it.unanswered_since.reset();
-            it.answered_at = clock_type::now();
+            it.answered_at = now;
             it.refuses = false;
             it.failing = false;
         });
@@ -342,8 +358,11 @@
 void group_task::tick(time_point now)
 {
     std::vector<std::shared_ptr<instance_pool>> pools;
-    for (const auto &it : members_)
+    for (const auto &it : members_) {
         pools.push_back(it.second.pool);
+        if (state_.primary() == it.first)
+            it.second.pool->set_cold_since(std::nullopt);
+    }
     for (const auto &it : pools)
         it->tick(now);
     search_primary(now);
--- a/src/proxy/group_task.h
+++ b/src/proxy/group_task.h
@@ -69,6 +69,8 @@
     static constexpr std::chrono::milliseconds exclusion_period{500};
     /// An instance whose log was behind the floor is tried again after this time: it may have caught up.
     static constexpr std::chrono::milliseconds behind_retry_delay{250};
+    /// An instance that answers again after this time without an answer is cold.
+    static constexpr std::chrono::milliseconds silence_before_cold{1000};
     /// Time-out of a status request.
     static constexpr std::chrono::milliseconds probe_timeout{500};
     /// This process searches for the primary itself only if no lease was received for this long.
@@ -210,6 +212,7 @@
     };
 
     std::shared_ptr<instance_pool> make_pool(const directory::instance_record &record, std::uint32_t limit);
+    void begin_cold(const std::string &id, instance_pool &pool, const char *reason);
     void reevaluate(time_point now);
     [[nodiscard]] bool has_lease(time_point now) const;
     void reevaluate_confirmations(time_point now);
@@ -229,6 +232,7 @@
     routing::outlier_detector outliers_;
     routing::instance_score score_;
     std::map<std::string, member> members_;
+    bool listed_ = false; ///< a listing with instances was received: those that follow have joined
     std::list<waiting_confirmation> confirmations_;
     std::list<condition_waiter> conditions_;
     time_point floor_requested_at_;
--- a/src/proxy/instance_pool.h
+++ b/src/proxy/instance_pool.h
@@ -93,6 +93,10 @@
     void set_slots(std::uint32_t slots) { slots_ = slots; }
     [[nodiscard]] std::uint32_t slots() const { return slots_; }
 
+    /// Since when the instance is cold; none: it is not, or it must not be limited. See `admission::warm_up`.
+    void set_cold_since(std::optional<time_point> since) { cold_since_ = since; }
+    [[nodiscard]] std::optional<time_point> cold_since() const { return cold_since_; }
+
     /// Closes idle connections and refuses waiting requests; connections in use are closed on release.
     void retire();
 
@@ -138,6 +142,7 @@
     upstream_target target_;
     std::uint32_t limit_;
     std::uint32_t slots_ = 1;
+    std::optional<time_point> cold_since_;
     /// Connections above this number are opened one at a time: the instance refused one.
     std::size_t refused_above_ = std::numeric_limits<std::size_t>::max();
     std::chrono::milliseconds limit_delay_ = retry_after_failure;
--- a/src/proxy/local_executor.cpp
+++ b/src/proxy/local_executor.cpp
@@ -64,6 +64,15 @@
     }
 }
 
+std::optional<std::uint32_t> local_executor::concurrency_limit(const std::string &instance,
+                                                               time_point now) const
+{
+    const auto it = state_->schedulers.find(instance);
+    if (it == state_->schedulers.end())
+        return std::nullopt;
+    return it->second.cold_limit().limit(now);
+}
+
 bool local_executor::busy() const
 {
     return !state_->transactions.empty() ||
--- a/src/proxy/local_executor.h
+++ b/src/proxy/local_executor.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace baobabport::proxy {
@@ -47,6 +48,10 @@
     /// Returns the number of the transaction that was opened last.
     [[nodiscard]] std::uint64_t last_transaction() const { return state_->last_transaction; }
 
+    /// Returns how many statements the instance may run; none: no statement for it came here.
+    [[nodiscard]] std::optional<std::uint32_t> concurrency_limit(const std::string &instance,
+                                                                 time_point now) const;
+
     [[nodiscard]] std::size_t open_transactions() const { return state_->transactions.size(); }
 
 private:
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -329,9 +329,12 @@
         metrics_.set("baobabport_group_has_primary", labels, group->state().primary() ? 1 : 0);
         metrics_.set("baobabport_waiting_confirmations", labels,
                      static_cast<double>(group->waiting_confirmations()));
-        for (const auto &it : group->snapshot(now).members)
-            metrics_.set("baobabport_instance_ejected", support::label("instance", it.id),
-                         group->is_ejected(it.id, now) ? 1 : 0);
+        for (const auto &it : group->snapshot(now).members) {
+            const auto instance = support::label("instance", it.id);
+            metrics_.set("baobabport_instance_ejected", instance, group->is_ejected(it.id, now) ? 1 : 0);
+            if (const auto limit = local_executor_.concurrency_limit(it.id, now))
+                metrics_.set("baobabport_instance_concurrency_limit", instance, *limit);
+        }
     }
 }
 
--- a/src/proxy/statement_execution.cpp
+++ b/src/proxy/statement_execution.cpp
@@ -29,6 +29,14 @@
            answer->error->text;
 }
 
+/// Returns true if the instance shed the statement, or did not answer it in time.
+bool is_refusal(const inner::execute_answer &it)
+{
+    const auto &error = it.answer.error;
+    return it.outcome == execute_outcome::lost || (error && (error->code == session::answer_code::busy ||
+                                                             error->code == session::answer_code::timed_out));
+}
+
 } // namespace
 
 void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it)
@@ -66,6 +74,7 @@
     const auto now = clock_type::now();
     auto &scheduler = state_->schedulers.try_emplace(request_.instance, pool->slots()).first->second;
     scheduler.set_slots(pool->slots());
+    scheduler.cold_limit().set_cold_since(pool->cold_since());
     key_ = ++state_->last_key;
     admission::slot_request wanted;
     wanted.key = key_;
@@ -326,7 +335,8 @@
     const auto scheduler = state_->schedulers.find(request_.instance);
     if (key_ != 0 && scheduler != state_->schedulers.end()) {
         const auto now = clock_type::now();
-        scheduler->second.finished(key_, answer.outcome == execute_outcome::answered, now);
+        scheduler->second.finished(key_, answer.outcome == execute_outcome::answered, now,
+                                   is_refusal(answer));
         start_waiting(*state_, scheduler->second, now);
     }
     const auto done = std::move(done_);
