--- a/src/admission/slot_scheduler.cpp
+++ b/src/admission/slot_scheduler.cpp
@@ -35,7 +35,7 @@
     has_workspaces_ = has_workspaces_ || !request.workspace.empty();
     if (has_workspaces_)
         return submit_fairly(request, now);
-    if (has_capacity() && queue_.length() == 0) {
+    if (has_capacity(now) && queue_.length() == 0) {
         start(request.key, request.label, now);
         return slot_decision::run;
     }
@@ -73,7 +73,7 @@
     queued.cost += queued.opening_cost;
     const bool connectable = expected.state == kind::ready || expected.state == kind::openable;
     // With a free slot, the others that wait have no connection.
-    if (has_capacity() && queue_.length() == 0 && ahead == 0 && connectable) {
+    if (has_capacity(now) && queue_.length() == 0 && ahead == 0 && connectable) {
         fair_.charge_start(queued.priority, queued.workspace, queued.cost);
         start_fairly(queued, expected.state == kind::openable, now);
         return slot_decision::run;
@@ -119,7 +119,7 @@
     }
 }
 
-void slot_scheduler::finished(std::uint64_t key, bool answered, time_point now)
+void slot_scheduler::finished(std::uint64_t key, bool answered, time_point now, bool refused)
 {
     const auto it = running_.find(key);
     if (it == running_.end())
@@ -129,14 +129,18 @@
         estimator_.finished(it->second.label, took);
         if (it->second.charged.count() > 0)
             correct_charge(it->second, now);
+        if (!refused)
+            warm_up_.record_answer(it->second.label, took, now);
     }
+    if (refused)
+        warm_up_.record_refusal();
     running_.erase(it);
 }
 
 std::vector<std::uint64_t> slot_scheduler::next(time_point now, std::size_t most)
 {
     std::vector<std::uint64_t> out;
-    while (has_capacity() && out.size() < most) {
+    while (has_capacity(now) && out.size() < most) {
         const auto it = queue_.pop([](const auto &) { return true; }, queue_limits(), now);
         if (!it)
             break;
@@ -153,7 +157,7 @@
             return fair_queue::readiness::not_now;
         }
     };
-    while (has_capacity() && out.size() < most) {
+    while (has_capacity(now) && out.size() < most) {
         const auto it = fair_.pop(check, queue_limits(), now);
         if (!it)
             break;
@@ -180,7 +184,7 @@
     if (fair_.length() == 0 || now - late_checked_at_ < late_check_interval)
         return {};
     late_checked_at_ = now;
-    const bool slots_free = has_capacity();
+    const bool slots_free = has_capacity(now);
     const auto running = remaining_running_time(now);
     return fair_.pop_late([&](const queued_request &last, std::chrono::microseconds ahead) {
         const std::chrono::duration<double, std::micro> left = last.deadline - now;
@@ -190,19 +194,20 @@
         const std::chrono::duration<double, std::micro> expected_then =
             std::max(last.cost - last.opening_cost, std::chrono::microseconds(1));
         const auto growth = estimator_.expected(last.label) / expected_then;
-        return (ahead * growth + running) / std::max(1U, slots_) > left * late_factor;
+        return (ahead * growth + running) / std::max(1U, std::min(slots_, warm_up_.limit(now))) >
+               left * late_factor;
     });
 }
 
 std::chrono::microseconds slot_scheduler::expected_wait(std::uint32_t priority, time_point now,
                                                         const std::string &workspace) const
 {
-    if (has_capacity() && (queue_.length() == 0 || has_workspaces_))
+    if (has_capacity(now) && (queue_.length() == 0 || has_workspaces_))
         return std::chrono::microseconds(0);
     const auto kind = kind_of(priority, false);
     const auto work =
         queue_.slot_time_ahead(kind) + fair_.slot_time_ahead(kind, workspace) + remaining_running_time(now);
-    return work / std::max(1U, slots_);
+    return work / std::max(1U, std::min(slots_, warm_up_.limit(now)));
 }
 
 std::chrono::microseconds slot_scheduler::remaining_running_time(time_point now) const
--- a/src/admission/slot_scheduler.h
+++ b/src/admission/slot_scheduler.h
@@ -6,6 +6,7 @@
 #include "admission/duration_estimator.h"
 #include "admission/fair_queue.h"
 #include "admission/request_queue.h"
+#include "admission/warm_up.h"
 
 #include <chrono>
 #include <cstdint>
@@ -63,9 +64,17 @@
     /// workspace is charged: a suspension of this process looks like long statements.
     static constexpr int max_charged_multiple = 4;
 
-    explicit slot_scheduler(std::uint32_t slots) : slots_(slots) {}
+    explicit slot_scheduler(std::uint32_t slots) { set_slots(slots); }
 
-    void set_slots(std::uint32_t slots) { slots_ = slots; }
+    void set_slots(std::uint32_t slots)
+    {
+        slots_ = slots;
+        warm_up_.set_full_limit(slots + max_beyond_slots);
+    }
+
+    /// Limits the running statements of a cold instance; see `warm_up`.
+    [[nodiscard]] warm_up &cold_limit() { return warm_up_; }
+    [[nodiscard]] const warm_up &cold_limit() const { return warm_up_; }
 
     /// Sets the hook that is asked before a statement of a workspace starts.
     void set_connections(connection_hook connections) { connections_ = std::move(connections); }
@@ -76,8 +85,9 @@
     /// Records that a running statement has got its connection; its duration counts from now.
     void connected(std::uint64_t key, time_point now);
 
-    /// Records the end of a running statement. Its duration is a sample only if it was answered.
-    void finished(std::uint64_t key, bool answered, time_point now);
+    /// Records the end of a running statement. Its duration is a sample only if it was answered. `refused`:
+    /// the instance shed it, or did not answer it in time.
+    void finished(std::uint64_t key, bool answered, time_point now, bool refused = false);
 
     /// Returns the waiting statements to start now, at most so many. With workspaces, the connection that one
     /// takes changes the outlook of the next, so each must be started before the next call.
@@ -93,7 +103,10 @@
                                                           const std::string &workspace = {}) const;
 
     /// Returns true if slots are free, but no connection for the statements that wait.
-    [[nodiscard]] bool lacks_connections() const { return has_capacity() && fair_.length() > 0; }
+    [[nodiscard]] bool lacks_connections(time_point now) const
+    {
+        return has_capacity(now) && fair_.length() > 0;
+    }
 
     /// Returns true once a statement of a workspace was submitted.
     [[nodiscard]] bool has_workspaces() const { return has_workspaces_; }
@@ -119,7 +132,7 @@
         bool connected = true;                ///< false: the connection is not open yet
     };
 
-    [[nodiscard]] bool has_capacity() const { return running_.size() < slots_ + max_beyond_slots; }
+    [[nodiscard]] bool has_capacity(time_point now) const { return running_.size() < warm_up_.limit(now); }
     [[nodiscard]] std::chrono::microseconds remaining_running_time(time_point now) const;
     slot_decision submit_fairly(const slot_request &request, time_point now);
     [[nodiscard]] connection_outlook outlook(const std::string &workspace, std::size_t waiting,
@@ -136,6 +149,7 @@
     connection_hook connections_;
     time_point late_checked_at_;
     duration_estimator estimator_;
+    warm_up warm_up_;
     std::unordered_map<std::uint64_t, running_statement> running_;
 };
 
--- a/src/proxy/instance_pool.h
+++ b/src/proxy/instance_pool.h
@@ -106,6 +106,10 @@
     void set_slots(std::uint32_t slots) { slots_ = slots; }
     [[nodiscard]] std::uint32_t slots() const { return slots_; }
 
+    /// Since when the instance is cold; none: it is not, or it must not be limited. See `admission::warm_up`.
+    void set_cold_since(std::optional<time_point> since) { cold_since_ = since; }
+    [[nodiscard]] std::optional<time_point> cold_since() const { return cold_since_; }
+
     /// Closes idle connections and refuses waiting requests; connections in use are closed on release.
     void retire();
 
@@ -143,6 +147,7 @@
     event_base *base_;
     upstream_target target_;
     std::uint32_t slots_ = 1;
+    std::optional<time_point> cold_since_;
     health_hooks health_;
     std::function<bool()> is_home_ = [] { return true; };
     admission::connection_allocation allocation_; ///< knows exactly the connections in `all_`
--- a/src/proxy/local_executor.cpp
+++ b/src/proxy/local_executor.cpp
@@ -69,7 +69,7 @@
                 continue;
             const auto late = it->second;
             state_->waiting.erase(it);
-            if (scheduler.lacks_connections())
+            if (scheduler.lacks_connections(now))
                 late->refuse_without_connection(acquire_failure::exhausted);
             else
                 late->refuse_overloaded(scheduler.expected_wait(late->priority(), now, late->workspace()));
@@ -77,6 +77,15 @@
     }
 }
 
+std::optional<std::uint32_t> local_executor::concurrency_limit(const std::string &instance,
+                                                               time_point now) const
+{
+    const auto it = state_->schedulers.find(instance);
+    if (it == state_->schedulers.end())
+        return std::nullopt;
+    return it->second.cold_limit().limit(now);
+}
+
 bool local_executor::busy() const
 {
     return !state_->transactions.empty() ||
@@ -104,7 +113,7 @@
 {
     const auto scheduler = state_->schedulers.find(pool.target().instance);
     const bool waits = pool.waiting_count() > 0 ||
-                       (scheduler != state_->schedulers.end() && scheduler->second.lacks_connections());
+                       (scheduler != state_->schedulers.end() && scheduler->second.lacks_connections(now));
     return waits && pool.exhausted(now);
 }
 
--- a/src/proxy/statement_execution.cpp
+++ b/src/proxy/statement_execution.cpp
@@ -20,6 +20,18 @@
 using inner::execute_outcome;
 using session::transaction_state;
 
+namespace {
+
+/// Returns true if the instance shed the statement, or did not answer it in time.
+bool is_refusal(const inner::execute_answer &it)
+{
+    const auto &error = it.answer.error;
+    return it.outcome == execute_outcome::lost || (error && (error->code == session::answer_code::busy ||
+                                                             error->code == session::answer_code::timed_out));
+}
+
+} // namespace
+
 void return_connection(const std::shared_ptr<instance_pool> &pool, const instance_pool::connection &it,
                        const std::function<void()> &released_later)
 {
@@ -64,6 +76,7 @@
     pool->record_demand(request_.workspace);
     auto &scheduler = state_->schedulers.try_emplace(request_.instance, pool->slots()).first->second;
     scheduler.set_slots(pool->slots());
+    scheduler.cold_limit().set_cold_since(pool->cold_since());
     if (!request_.workspace.empty())
         scheduler.set_connections([weak = std::weak_ptr(pool)](const auto &workspace, auto waiting, auto at) {
             const auto connections = weak.lock();
@@ -321,7 +334,8 @@
     const auto scheduler = state_->schedulers.find(request_.instance);
     if (key_ != 0 && scheduler != state_->schedulers.end()) {
         const auto now = clock_type::now();
-        scheduler->second.finished(key_, answer.outcome == execute_outcome::answered, now);
+        scheduler->second.finished(key_, answer.outcome == execute_outcome::answered, now,
+                                   is_refusal(answer));
         start_waiting(*state_, scheduler->second, now);
     }
     const auto done = std::move(done_);
--- a/src/proxy/statement_run.h
+++ b/src/proxy/statement_run.h
@@ -188,8 +188,8 @@
     run_result result_;
     bool abandoned_ = false;
     std::optional<session::failure> revoked_; ///< the answer in place of a further attempt
-    bool awaits_token_ = false; ///< `take_token` has returned without one
-    bool has_token_ = false;    ///< of the workspace's quota, for the next attempt
+    bool awaits_token_ = false;               ///< `take_token` has returned without one
+    bool has_token_ = false;                  ///< of the workspace's quota, for the next attempt
     std::unique_ptr<inner::timer> retry_timer_;
 };
 
