Name the limit of a refused statement, and mend the closing of idle connections

Cause: work_refused did not say whether slots or connections were short. Closing one idle connection could open another in place of the next one to be closed, which then was null.

Change: work_refused has the workspace and the limit; idle connections are closed before any is opened; with a limit of 0, statements wait for their limit.

--- a/src/admission/connection_allocation.cpp
+++ b/src/admission/connection_allocation.cpp
@@ -135,8 +135,8 @@
     const auto plan = plan_opening(workspace, {workspace}, now);
     if (plan.open || plan.close)
         return {kind::openable, opening_cost};
-    if (limit_ == 0)
-        return {kind::unavailable, no_release};
+    if (limit_ == 0) // until this process knows the homes of the instances
+        return {kind::unavailable, microseconds(0)};
     auto wait = earliest_release(now);
     if (size() < limit_ && !reachable(now))
         wait = std::min(wait, until(retry_at_, now) + opening_cost);
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -142,12 +142,7 @@
 std::optional<fair_queue::popped_request> fair_queue::pop_from(level &from, const readiness_check &check,
                                                                time_point now)
 {
-    struct candidate
-    {
-        std::string workspace;
-        std::uint64_t key = 0;
-    };
-    std::optional<candidate> chosen;
+    std::optional<std::uint64_t> chosen;
     double tag = 0;
     std::size_t ties = 0;
     for (const auto &[at, order, workspace] : from.waiting) {
@@ -164,26 +159,25 @@
         if (state == readiness::not_now)
             continue;
         if (state == readiness::ready)
-            return serve(from, workspace, next->second.key, false);
+            return serve(from, next->second.key, false);
         if (!chosen) {
-            chosen = {workspace, next->second.key};
+            chosen = next->second.key;
             tag = at;
         }
     }
     if (!chosen)
         return std::nullopt;
-    return serve(from, chosen->workspace, chosen->key, true);
+    return serve(from, *chosen, true);
 }
 
-fair_queue::popped_request fair_queue::serve(level &from, const std::string &workspace, std::uint64_t key,
-                                             bool opens_connection)
+fair_queue::popped_request fair_queue::serve(level &from, std::uint64_t key, bool opens_connection)
 {
-    const auto name = workspace; // the argument may be part of a key that is erased
     popped_request out{remove(key), opens_connection};
+    const auto &workspace = out.request.workspace;
     out.request.cost += (opens_connection ? opening_cost_ : microseconds(0)) - out.request.opening_cost;
-    const auto start = from.flows.at(name).tag;
+    const auto start = from.flows.at(workspace).tag;
     from.virtual_time = std::max(from.virtual_time, start);
-    set_tag(from, name, start + to_tag(out.request.cost));
+    set_tag(from, workspace, start + to_tag(out.request.cost));
     forget_idle(from);
     return out;
 }
--- a/src/admission/fair_queue.h
+++ b/src/admission/fair_queue.h
@@ -136,7 +136,7 @@
     std::optional<popped_request> pop_from(level &from, const readiness_check &check, time_point now);
     std::optional<popped_request> pop_aged(const readiness_check &check, time_point enqueued_before,
                                            time_point now);
-    popped_request serve(level &from, const std::string &workspace, std::uint64_t key, bool opens_connection);
+    popped_request serve(level &from, std::uint64_t key, bool opens_connection);
 
     std::chrono::microseconds opening_cost_;
     std::array<level, levels> levels_;
--- a/src/proxy/instance_pool.cpp
+++ b/src/proxy/instance_pool.cpp
@@ -294,7 +294,7 @@
     if (allocation_.idle_too_long(false, now).empty())
         return;
     for (const auto it : allocation_.idle_too_long(is_home_(), now))
-        drop(find(it));
+        close_idle(it);
 }
 
 void instance_pool::end_slow_attempts(time_point now)
--- a/src/proxy/statement_execution.cpp
+++ b/src/proxy/statement_execution.cpp
@@ -127,6 +127,8 @@
     const auto &scheduler = state_->schedulers.at(request_.instance);
     support::log_event("work_refused", {{"id", request_.id},
                                         {"instance", request_.instance},
+                                        {"workspace", request_.workspace},
+                                        {"limit", "slots"},
                                         {"expected_wait_ms", std::to_string(wait)},
                                         {"wait_limit_ms", std::to_string(request_.wait_left.count())},
                                         {"running", std::to_string(scheduler.running())},
@@ -185,6 +187,13 @@
     }
     // Without workspaces, a statement that found no connection is offered to the same instance again.
     const bool overloaded = reason == acquire_failure::exhausted || !request_.workspace.empty();
+    if (overloaded)
+        support::log_event("work_refused", {{"id", request_.id},
+                                            {"instance", request_.instance},
+                                            {"workspace", request_.workspace},
+                                            {"limit", "connections"},
+                                            {"open", std::to_string(pool_->open_count())},
+                                            {"wait_limit_ms", std::to_string(request_.wait_left.count())}});
     finish({execute_outcome::not_run, "all connections are in use", overloaded, {}, 0});
 }
 
--- a/tests/admission/test_connection_allocation.cpp
+++ b/tests/admission/test_connection_allocation.cpp
@@ -135,6 +135,7 @@
     home it(2);
     REQUIRE(it.open("a", start));
     CHECK(it.allocation.plan_opening("", {""}, start).open);
+    CHECK(home(0).allocation.outlook("a", 1, start).wait == milliseconds(0)); // the limit is not known yet
     home single(1);
     REQUIRE(single.run("a", start));
     const auto plan = single.allocation.plan_opening("", {""}, start);
--- a/tests/admission/test_fair_queue.cpp
+++ b/tests/admission/test_fair_queue.cpp
@@ -140,9 +140,9 @@
         urgent.enqueued_at = start + milliseconds(400);
         REQUIRE(it.push(urgent, limits()));
     }
-    std::vector<std::uint64_t> order;
-    for (int n = 0; n < 4; ++n)
-        order.push_back(it.pop(all_ready, limits(), start + milliseconds(401))->request.key);
+    std::vector<std::uint64_t> order(4);
+    for (auto &key : order)
+        key = it.pop(all_ready, limits(), start + milliseconds(401))->request.key;
     CHECK(std::count(order.begin(), order.end(), 1U) == 1);
     CHECK(order.front() == 10);
 }
--- a/tests/proxy/test_workspace_connections.cpp
+++ b/tests/proxy/test_workspace_connections.cpp
@@ -81,6 +81,7 @@
     /// Begins a transaction, which then rests, and returns its number.
     std::uint64_t begin(const std::string &id, const std::string &workspace)
     {
+        answers.erase(id);
         submit(id, workspace, "WRITE x 1", 0, begin_mode::read_write);
         const auto number = answer(id).transaction;
         REQUIRE(number != 0);
@@ -106,9 +107,9 @@
 TEST_CASE("idle transactions that hold all connections neither stop others for long nor lose a commit")
 {
     workspace_home home(16);
-    std::vector<std::uint64_t> open;
-    for (int n = 0; n < 15; ++n)
-        open.push_back(home.begin("begin-" + std::to_string(n), "hot"));
+    std::vector<std::uint64_t> open(15);
+    for (auto &it : open)
+        it = home.begin("begin", "hot");
 
     home.submit("hurried", "small", "READ x", 0, begin_mode::none, milliseconds(75));
     REQUIRE(home.answers.count("hurried")); // at once
