Serve workspaces above their rate within the window; mend faults that reviews found

Two reviews by reading found: overlapping withdrawals that each ask for the same advance, deposits with every change of the member list, links dropped after one slow deposit, tokens held through a primary's replacement or lost with a caller, slow statements taken for a recovery, plain queues that a limit which grows by time does not start, transactions that outlive the change of their route's workspace, restarted instances judged by the refusals of the former.

Each fault is mended.

--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -64,6 +64,8 @@
     const auto pool = it->second.pool;
     members_.erase(it); // the next `set_members` adds it again, with connections to the new process
     pool->retire();
+    outliers_.record_restart(id,
+                             clock_type::now()); // the refusals of `retire` say nothing about the new process
 }
 
 void group_task::begin_cold(const std::string &id, instance_pool &pool, const char *reason)
@@ -97,7 +99,9 @@
         with_member([&weak](member &it) {
             const auto now = clock_type::now();
             const auto self = weak.lock();
-            if (self && it.unanswered_since && now - *it.unanswered_since >= silence_before_cold)
+            // A statement that takes long is no silence.
+            const bool lost = it.pool->take_lost();
+            if (self && lost && it.unanswered_since && now - *it.unanswered_since >= silence_before_cold)
                 (*self)->begin_cold(it.record.id, *it.pool, "answers again");
             it.unanswered_since.reset();
             it.answered_at = now;
--- a/src/proxy/instance_pool.cpp
+++ b/src/proxy/instance_pool.cpp
@@ -192,11 +192,13 @@
     if (at_limit) {
         health_.answered(); // it is responsive; other processes use all its connections
         allocation_.record_limit_refusal(now());
-    } else
+    } else {
+        lost_ = true;
         health_.failed(refusal ? "refused with " + std::string(platform::code_word(refusal->code)) + ' ' +
                                      refusal->text
                                : "connection lost",
                        kept->is_absent());
+    }
     if (all_.empty())
         refuse_waiting(acquire_failure::unreachable);
     if (allocation_.has_workspaces())
@@ -308,6 +310,7 @@
     it->abandon();
     remove(it);
     allocation_.record_failure(now);
+    lost_ = true;
     health_.failed("opening a connection timed out", false);
     if (all_.empty())
         refuse_waiting(acquire_failure::unreachable);
@@ -320,8 +323,10 @@
         if (it->is_open() && it->unanswered() > 0 && now >= it->deadline)
             unresponsive.push_back(it);
     }
-    for (const auto &it : unresponsive)
+    for (const auto &it : unresponsive) {
+        lost_ = true;
         it->end_without_answer();
+    }
 }
 
 void instance_pool::retire()
--- a/src/proxy/instance_pool.h
+++ b/src/proxy/instance_pool.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace baobabport::proxy {
@@ -106,6 +107,9 @@
     void set_slots(std::uint32_t slots) { slots_ = slots; }
     [[nodiscard]] std::uint32_t slots() const { return slots_; }
 
+    /// Returns true if a connection got no answer or could not be opened since the last call.
+    [[nodiscard]] bool take_lost() { return std::exchange(lost_, false); }
+
     /// Since when the instance is cold; none: it is not, or it must not be limited. See `admission::warm_up`.
     void set_cold_since(std::optional<time_point> since) { cold_since_ = since; }
     [[nodiscard]] std::optional<time_point> cold_since() const { return cold_since_; }
@@ -148,6 +152,7 @@
     upstream_target target_;
     std::uint32_t slots_ = 1;
     std::optional<time_point> cold_since_;
+    bool lost_ = false; ///< see `take_lost`
     health_hooks health_;
     std::function<bool()> is_home_ = [] { return true; };
     admission::connection_allocation allocation_; ///< knows exactly the connections in `all_`
--- a/src/proxy/peer_task.cpp
+++ b/src/proxy/peer_task.cpp
@@ -238,7 +238,8 @@
                     // A link without statements that does not answer may be partitioned, and must not deliver
                     // the tokens once it recovers. With statements, their time-outs decide.
                     else if (outcome.may_have_arrived && health.outstanding == 0 &&
-                             kind == message_kind::deposit_tokens)
+                             kind == message_kind::deposit_tokens &&
+                             clock_type::now() - health.last_received_at > silent_link_limit)
                         links_.drop(vm);
                     done(outcome);
                 });
--- a/src/proxy/peer_task.h
+++ b/src/proxy/peer_task.h
@@ -49,6 +49,9 @@
     /// A process that has answered no outstanding request for this long is excluded; longer than the longest
     /// statement.
     static constexpr std::chrono::milliseconds unresponsive_limit{350};
+    /// A link without statements is closed if deposits of tokens get no answer for this long; a VM with a
+    /// small share of a core may stand still for some hundred milliseconds.
+    static constexpr std::chrono::milliseconds silent_link_limit{1000};
     /// Time-out of a request for a part of the directory; the store is read afterwards.
     static constexpr std::chrono::milliseconds directory_timeout{400};
     /// Number of ranks that are tried as a home; more would only spread an instance's connections.
--- a/src/proxy/proxy_task_peers.cpp
+++ b/src/proxy/proxy_task_peers.cpp
@@ -131,7 +131,7 @@
     if (peers_)
         peers_->set_members(known_members_);
     quotas_.account().fleet().record_list(known_members_.size(), members_changed_at_);
-    quotas_.deposit_soon();
+    quotas_.deposit_soon(members_changed_at_);
     log_event("members_known", {{"members", std::to_string(known_members_.size())}});
 }
 
--- a/src/proxy/quota_task.cpp
+++ b/src/proxy/quota_task.cpp
@@ -68,7 +68,7 @@
     support::log_event("quota_pool_avoided", {{"vm", vm}, {"for_ms", std::to_string(it.next.count())}});
     it.until = now + it.next;
     it.next = std::min(it.next * 2, longest_avoidance);
-    deposit_soon();
+    deposit_soon(now);
 }
 
 void quota_task::withdraw(waiting_operations operations, int attempt)
--- a/src/proxy/quota_task.h
+++ b/src/proxy/quota_task.h
@@ -67,8 +67,14 @@
     /// Deposits what is due.
     void tick(time_point now);
 
-    /// Deposits at the next tick: the pools may have changed.
-    void deposit_soon() { deposited_at_ = {}; }
+    /// Deposits early, since the pools may have changed, but not with every change of the list while a fleet
+    /// starts.
+    void deposit_soon(time_point now)
+    {
+        constexpr std::chrono::milliseconds shortest_interval{100};
+        deposited_at_ =
+            std::min(deposited_at_, now - quota::quota_account::deposit_interval + shortest_interval);
+    }
 
     /// Answers a message of another process.
     [[nodiscard]] std::string answer(inner::message_kind kind, const std::string &body, time_point now);
--- a/src/proxy/statement_execution.cpp
+++ b/src/proxy/statement_execution.cpp
@@ -97,8 +97,7 @@
         return;
     case admission::slot_decision::wait:
         state_->waiting[key_] = shared_from_this();
-        if (scheduler.has_workspaces())
-            start_waiting(*state_, scheduler, now);
+        start_waiting(*state_, scheduler, now); // a limit may have grown by time
         return;
     case admission::slot_decision::refuse:
         key_ = 0;
@@ -115,7 +114,8 @@
 {
     const auto known = state_->transactions.find(request_.transaction);
     if (known == state_->transactions.end() || known->second.owner != owner_ || known->second.running ||
-        known->second.claimed || known->second.pool->target().instance != request_.instance)
+        known->second.claimed || known->second.pool->target().instance != request_.instance ||
+        known->second.connection->workspace != request_.workspace)
         return false;
     known->second.claimed = claimed_ = true;
     return true;
@@ -374,7 +374,7 @@
 void start_waiting(executor_state &state, const std::string &instance, time_point now)
 {
     const auto scheduler = state.schedulers.find(instance);
-    if (scheduler != state.schedulers.end() && scheduler->second.has_workspaces())
+    if (scheduler != state.schedulers.end())
         start_waiting(state, scheduler->second, now);
 }
 
--- a/src/proxy/statement_run.cpp
+++ b/src/proxy/statement_run.cpp
@@ -368,6 +368,7 @@
 
 void statement_run::abandon()
 {
+    return_token();
     abandoned_ = true;
     done_ = nullptr;
     retry_timer_.reset();
--- a/src/proxy/statement_run_retry.cpp
+++ b/src/proxy/statement_run_retry.cpp
@@ -157,6 +157,8 @@
         return;
     }
     drop_transaction(); // it is open at the instance and home process of the last attempt
+    if (needs_primary())
+        return_token(); // statements that wait for a replacement would all run together after it
     if (attempts_ > 0)
         wait_limit_ = deadline_; // applies to the wait for a primary or a floor; slots have their own limit
     retry_timer_ = std::make_unique<inner::timer>(base_, [self = shared_from_this()] {
--- a/src/quota/local_bucket.cpp
+++ b/src/quota/local_bucket.cpp
@@ -73,9 +73,16 @@
 std::int64_t local_bucket::advance(time_point now)
 {
     decay(now);
-    const double room = bound_ - unacknowledged_ - stock_;
-    return std::max<std::int64_t>(
+    const double room = bound_ - unacknowledged_ - stock_ - advancing_;
+    const auto out = std::max<std::int64_t>(
         0, static_cast<std::int64_t>(std::floor(std::min(room, demand_ * seconds(advance_time)))));
+    advancing_ += static_cast<double>(out);
+    return out;
+}
+
+void local_bucket::end_advance(std::int64_t tokens)
+{
+    advancing_ = std::max(0.0, advancing_ - static_cast<double>(tokens));
 }
 
 std::int64_t local_bucket::remove_surplus(time_point now)
--- a/src/quota/local_bucket.h
+++ b/src/quota/local_bucket.h
@@ -46,9 +46,13 @@
     /// They count towards the bound until `acknowledge`.
     [[nodiscard]] std::int64_t reserve(std::int64_t milli_tokens);
 
-    /// Returns the tokens to withdraw in advance for further demand, in whole ones.
+    /// Returns the tokens to withdraw in advance for further demand, in whole ones. Those of withdrawals in
+    /// progress are not asked for again.
     [[nodiscard]] std::int64_t advance(time_point now);
 
+    /// Records the end of a withdrawal that asked for so many tokens in advance.
+    void end_advance(std::int64_t tokens);
+
     /// Removes and returns the milli-tokens that are not needed here. They count towards the bound until
     /// `acknowledge`.
     [[nodiscard]] std::int64_t remove_surplus(time_point now);
@@ -64,6 +68,7 @@
     double stock_ = 0;
     double unacknowledged_ = 0; ///< deposited or reserved
     double demand_ = 0;         ///< operations per second, decaying
+    double advancing_ = 0;      ///< asked for in advance by withdrawals in progress
     time_point issued_until_;
     time_point decayed_at_;
 };
--- a/src/quota/quota_account.cpp
+++ b/src/quota/quota_account.cpp
@@ -101,14 +101,15 @@
 
 withdrawal quota_account::begin_withdrawal(const std::string &workspace, std::size_t waiting, time_point now)
 {
-    withdrawal out{{workspace, 0, milliseconds(0)}, 0, waiting};
+    withdrawal out{{workspace, 0, milliseconds(0)}, 0, waiting, 0};
     const auto found = entries_.find(workspace);
     if (found == entries_.end())
         return out;
     auto &bucket = found->second.bucket;
     const auto needed = static_cast<std::int64_t>(waiting) * milli;
     out.reserved = bucket.reserve(needed);
-    out.wanted.milli_tokens = needed - out.reserved + bucket.advance(now) * milli;
+    out.advanced = bucket.advance(now);
+    out.wanted.milli_tokens = needed - out.reserved + out.advanced * milli;
     return out;
 }
 
@@ -120,6 +121,7 @@
     auto &bucket = found->second.bucket;
     bucket.issue(now);
     bucket.acknowledge(it.reserved);
+    bucket.end_advance(it.advanced);
     bucket.add(static_cast<double>(it.reserved + milli_tokens) / milli);
     std::size_t out = 0;
     while (out < it.waiting && bucket.take_again())
@@ -135,7 +137,8 @@
     if (it == entries_.end())
         return;
     it->second.returned += milli;
-    --it->second.admitted;
+    if (it->second.admitted > 0) // the quota may have been replaced since the token was taken
+        --it->second.admitted;
 }
 
 void quota_account::record_refusal(const std::string &workspace)
--- a/src/quota/quota_account.h
+++ b/src/quota/quota_account.h
@@ -32,6 +32,7 @@
     token_amount wanted;
     std::int64_t reserved = 0; ///< milli-tokens of the local bucket
     std::size_t waiting = 0;   ///< operations
+    std::int64_t advanced = 0; ///< tokens that were asked for in advance
 };
 
 /// The state of one workspace, for operators.
--- a/src/quota/stock_bounds.cpp
+++ b/src/quota/stock_bounds.cpp
@@ -39,6 +39,11 @@
                         burst_share * limit.burst + of.slack / 2);
     out.pool = std::max(out.pool, std::min(1.0, of.slack / 2)); // a burst below 1 would refuse everything
     out.pool_floor = std::min(out.pool, floor_share * limit.burst + of.slack / 4);
+    // Twice `scarce` and what is issued in a window stay below `pool`, which they replace.
+    constexpr double sustained_share = 0.6;
+    out.window = of.window;
+    out.sustained_per_s = sustained_share * limit.burst / seconds(of.window);
+    out.scarce = floor_share * limit.burst;
     return out;
 }
 
--- a/src/quota/stock_bounds.h
+++ b/src/quota/stock_bounds.h
@@ -28,6 +28,12 @@
     double local = 0;      ///< on one VM, with the deposits that are not acknowledged yet
     double pool = 0;       ///< of the pools of all VMs together
     double pool_floor = 0; ///< of a pool that few VMs endorse
+    /// Tokens that the pools of all VMs together issue, beside the rate, while there has been no more than
+    /// `scarce` in stock for a whole window. A window may have rate * window + burst operations, and what was
+    /// kept for a burst is no part of such a window.
+    double sustained_per_s = 0;
+    double scarce = 0; ///< per pool; also the most that it issues at once
+    milliseconds window{0};
 };
 
 /// Unspent tokens of a VM are worth this much of its issue.
--- a/src/quota/token_pool.cpp
+++ b/src/quota/token_pool.cpp
@@ -55,16 +55,34 @@
     }
 }
 
-double token_pool::bound(const entry &it, time_point now)
+double token_pool::share(std::size_t group, time_point now)
 {
-    auto &endorsed = endorsements_[it.group];
+    auto &endorsed = endorsements_[group];
     auto &voters = endorsed.arrived_at;
     if (now - endorsed.expired_at >= expiry_interval) {
         std::erase_if(voters, [now](const auto &vote) { return now - vote.second > endorsement_time; });
         endorsed.expired_at = now;
     }
-    const double share = fleet_ == 0 ? 0 : std::min(1.0, static_cast<double>(voters.size()) / fleet_);
-    return std::max(it.bounds.pool * share, it.bounds.pool_floor);
+    return fleet_ == 0 ? 0 : std::min(1.0, static_cast<double>(voters.size()) / fleet_);
+}
+
+double token_pool::bound(const entry &it, time_point now)
+{
+    return std::max(it.bounds.pool * share(it.group, now), it.bounds.pool_floor);
+}
+
+void token_pool::issue_sustained(entry &it, time_point now)
+{
+    const auto begin = std::max(it.sustained_until, it.scarce_since + it.bounds.window);
+    if (it.scarce_since != time_point{} && now > begin) {
+        const double issued = it.bounds.sustained_per_s * share(it.group, now) * seconds(now - begin);
+        it.stock = std::min(it.bounds.scarce, it.stock + issued);
+    }
+    it.sustained_until = std::max(it.sustained_until, now);
+    if (it.stock > it.bounds.scarce)
+        it.scarce_since = {};
+    else if (it.scarce_since == time_point{})
+        it.scarce_since = now;
 }
 
 milliseconds token_pool::deposit(const std::string &workspace, std::int64_t milli_tokens, time_point now)
@@ -73,9 +91,12 @@
     if (found == entries_.end())
         return longest_full_time; // this VM has another desired state than the sender
     auto &it = found->second;
+    issue_sustained(it, now);
     const double room = bound(it, now);
     it.stock =
         std::min(room, it.stock + static_cast<double>(std::max<std::int64_t>(0, milli_tokens)) / milli);
+    if (it.stock > it.bounds.scarce)
+        it.scarce_since = {};
     if (it.stock < room || it.rate_per_s <= 0)
         return milliseconds(0);
     return std::clamp(from_seconds(it.stock / it.rate_per_s / 2), shortest_full_time, longest_full_time);
@@ -89,12 +110,14 @@
         return out;
     auto &it = found->second;
     it.stock = std::min(it.stock, bound(it, now));
+    issue_sustained(it, now);
     const auto available = static_cast<std::int64_t>(std::floor(it.stock * milli + 1e-6));
     const auto missing = std::max<std::int64_t>(0, milli_tokens - available);
     constexpr std::int64_t token = 1000;
     out.milli_tokens = std::max<std::int64_t>(0, milli_tokens - (missing + token - 1) / token * token);
     it.stock = std::max(0.0, it.stock - static_cast<double>(out.milli_tokens) / milli);
-    const auto refused = static_cast<double>(milli_tokens - out.milli_tokens) / milli;
+    // What was asked for in advance keeps no caller waiting; a withdrawal is for one operation at least.
+    const auto refused = std::min(1.0, static_cast<double>(milli_tokens - out.milli_tokens) / milli);
     out.until_more = refused > 0 ? wait_for(it, refused, now) : milliseconds(0);
     return out;
 }
--- a/src/quota/token_pool.h
+++ b/src/quota/token_pool.h
@@ -48,7 +48,7 @@
     /// Longest time to return that a refusal names.
     static constexpr milliseconds longest_wait{2000};
     /// Bounds of the time for which depositors are told that a pool is full.
-    static constexpr milliseconds shortest_full_time{400};
+    static constexpr milliseconds shortest_full_time{1000};
     static constexpr milliseconds longest_full_time{2000};
 
     /// Sets the limit of a workspace, and cuts its stock to it.
@@ -85,6 +85,8 @@
         stock_bounds bounds;
         double rate_per_s = 0;
         double stock = 0;
+        time_point scarce_since;    ///< since when the stock has not exceeded `stock_bounds::scarce`
+        time_point sustained_until; ///< until when `issue_sustained` has issued
         double awaited = 0; ///< tokens for which refused callers were told to return; falls at the rate
         time_point awaited_at;
     };
@@ -97,7 +99,11 @@
     /// Old endorsements are removed at this interval rather than with each message.
     static constexpr milliseconds expiry_interval{100};
 
+    /// Returns the share of the fleet that endorses this pool of the group.
+    [[nodiscard]] double share(std::size_t group, time_point now);
     [[nodiscard]] double bound(const entry &it, time_point now);
+    /// Issues what `stock_bounds::sustained_per_s` allows since the last call.
+    void issue_sustained(entry &it, time_point now);
     [[nodiscard]] milliseconds wait_for(entry &it, double missing, time_point now) const;
 
     std::uint32_t fleet_ = 0;
--- a/tests/quota/test_quota_sum.cpp
+++ b/tests/quota/test_quota_sum.cpp
@@ -126,6 +126,31 @@
     CHECK(static_cast<double>(fleet.admitted("surge", since)) > 0.95 * rate * 5);
 }
 
+// Guards against refusals of a workspace that stays above its rate, but within what a window may have, and
+// against windows in which it also uses what was kept for a burst.
+TEST_CASE("a workspace that stays above its rate may use the burst over each window")
+{
+    const double rate = 160;
+    quota_fleet fleet(63, 11, {workspace_of("steady", rate, rate)});
+    start_all(fleet, 63);
+    fleet.run_for(milliseconds(3000));
+    const auto set_demand = [&fleet](double per_s) {
+        for (std::size_t vm = 0; vm < 63; ++vm)
+            fleet.set_demand(vm, "steady", per_s / 63 * (vm % 2 == 0 ? 1.8 : 0.2));
+    };
+    set_demand(rate * 2);
+    fleet.run_for(milliseconds(8000));
+    const auto since = fleet.now();
+    fleet.run_for(milliseconds(5000));
+    CHECK(static_cast<double>(fleet.admitted("steady", since)) > 1.05 * rate * 5);
+    set_demand(rate / 4); // the pool fills again
+    fleet.run_for(milliseconds(3000));
+    set_demand(rate * 6);
+    fleet.run_for(milliseconds(6000));
+    CHECK(static_cast<double>(fleet.most_admitted("steady", milliseconds(5000))) <=
+          quota::tolerated({rate, rate}, {}));
+}
+
 // Guards against a loss of the quota with its pool: the next pool has tokens soon.
 TEST_CASE("a workspace has its quota soon after the loss of any VM")
 {
