--- a/soak/child_process.h
+++ b/soak/child_process.h
@@ -23,6 +23,8 @@
 
     void send(int signal) const;
 
+    [[nodiscard]] pid_t id() const { return id_; }
+
     /// Returns true while the process runs or is suspended.
     [[nodiscard]] bool alive();
 
--- a/src/proxy/settings_file.cpp
+++ b/src/proxy/settings_file.cpp
@@ -62,6 +62,22 @@
         fields.fail(name, '"' + text + '"', "\"true\" or \"false\"");
 }
 
+/// Reads a size or count given as a string; a fraction is cut off.
+void read_number(support::json_fields &fields, const char *name, std::uint64_t &out)
+{
+    constexpr double greatest = 1e9;
+    std::string text;
+    fields.text(name, text, false);
+    if (text.empty())
+        return;
+    double value = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (ec != std::errc() || end != text.data() + text.size() || !(value >= 1 && value <= greatest))
+        fields.fail(name, '"' + text + '"', "a number of at least 1, in quotes");
+    else
+        out = static_cast<std::uint64_t>(value);
+}
+
 } // namespace
 
 std::optional<proxy_settings> read_proxy_settings(const std::string &text, std::string &reason)
@@ -97,6 +113,8 @@
     read_time(fields, "shortest_store_lease_ms", ms, out.shortest_store_lease);
     read_time(fields, "revoke_ms", ms, out.revocation_bound);
     read_flag(fields, "strict_revocation", out.strict_revocation);
+    read_number(fields, "memory_mb", out.memory_mb);
+    read_number(fields, "max_fds", out.max_fds);
     fields.finish();
     if (error) {
         error->line = support::line_of(text, error->path);
--- a/tests/proxy/test_settings_file.cpp
+++ b/tests/proxy/test_settings_file.cpp
@@ -35,6 +35,24 @@
     CHECK(settings->shutdown_time == milliseconds(2500));
     CHECK(settings->drain_bound == milliseconds(5000));
     CHECK(settings->configuration_bound == proxy_settings{}.configuration_bound);
+    CHECK(settings->memory_mb == 0);
+    CHECK(settings->max_fds == 0);
+}
+
+// Guards against a process that does not start, or has no limits, by what the platform says of its VM.
+TEST_CASE("the limits of a VM are read as numbers in quotes, and an unusable one is rejected by its name")
+{
+    std::string reason;
+    const auto settings =
+        read_proxy_settings(with("\"admin\": \"\"", R"("memory_mb": "112.5", "max_fds": "3010")"), reason);
+    REQUIRE(settings);
+    CHECK(settings->memory_mb == 112);
+    CHECK(settings->max_fds == 3010);
+    for (const char *const text : {"0", "-4", "many", "nan", "1e12", "12 MB"}) {
+        const auto entry = std::string(R"("max_fds": ")") + text + '"';
+        CHECK_FALSE(read_proxy_settings(with("\"admin\": \"\"", entry), reason));
+        CHECK(reason.find("max_fds") != std::string::npos);
+    }
 }
 
 TEST_CASE("invalid settings are rejected with the name of the setting")
