--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -4,6 +4,7 @@
 #include <evhtp/evhtp.h>
 #include <map>
 #include <netinet/tcp.h>
+#include <optional>
 #include <stdexcept>
 #include <sys/socket.h>
 
@@ -120,9 +121,15 @@
 class http_server::impl
 {
 public:
-    impl(event_base *base, const support::address &at, std::size_t max_body, handler handle)
-        : handle_(std::move(handle)), htp_(evhtp_new(base, nullptr))
+    impl(event_base *base, const support::address &at, std::size_t max_body, handler handle,
+         server_limits limits)
+        : handle_(std::move(handle)), limits_(std::move(limits)), htp_(evhtp_new(base, nullptr))
     {
+        if (limits_.timeout.count() > 0) {
+            const timeval timeout{limits_.timeout.count(), 0};
+            evhtp_set_timeouts(htp_, &timeout, &timeout);
+        }
+        evhtp_set_pre_accept_cb(htp_, on_pre_accept, this);
         evhtp_set_max_body_size(htp_, max_body);
         evhtp_set_gencb(htp_, on_request, this);
         evhtp_set_post_accept_cb(htp_, on_accept, this);
@@ -141,6 +148,7 @@
         evhtp_set_gencb(htp_, refuse_request, nullptr);
         for (auto &[id, connection] : connections_) {
             evhtp_connection_unset_hook(connection, evhtp_hook_on_connection_fini);
+            stop_counting(*contexts_.at(id));
             if (connection->request)
                 connection->request->cb = refuse_request;
         }
@@ -170,6 +178,7 @@
     }
 
     handler handle_;
+    server_limits limits_;
     std::vector<std::string> captured_headers_;
     connection_hook connection_end_;
     std::map<std::uint64_t, evhtp_connection_t *> connections_;
@@ -180,13 +189,74 @@
     {
         impl *server = nullptr;
         std::uint64_t id = 0;
+        evhtp_connection_t *connection = nullptr;
+        std::size_t request_bytes = 0; ///< received since the last complete request
+        std::optional<limits::memory_charge> charge;
     };
 
+    static evhtp_res on_pre_accept(evhtp_connection_t * /*connection*/, void *self)
+    {
+        auto *const me = static_cast<impl *>(self);
+        const auto most = me->limits_.max_connections;
+        if (most == 0 || me->connections_.size() < most)
+            return EVHTP_RES_OK;
+        me->limits_.record("connections");
+        // Those that are shut down are closed by the loop; until then they count.
+        if (me->connections_.size() >= 2 * most)
+            return EVHTP_RES_ERROR;
+        me->abort_connection(me->connections_.begin()->first);
+        return EVHTP_RES_OK;
+    }
+
+    /// Called when bytes have been received, or taken from the buffer.
+    static void on_input(evbuffer * /*input*/, const evbuffer_cb_info *info, void *arg)
+    {
+        auto &it = *static_cast<connection_context *>(arg);
+        it.request_bytes += info->n_added;
+        const auto &limits = it.server->limits_;
+        if (limits.max_request != 0 && it.request_bytes > limits.max_request) {
+            limits.record("request_too_long");
+            ::shutdown(it.connection->sock, SHUT_RDWR);
+        }
+        if (it.charge && info->n_added > 0)
+            it.charge->resize(it.request_bytes + output_bytes(*it.connection));
+    }
+
+    static std::size_t output_bytes(const evhtp_connection_t &connection)
+    {
+        return evbuffer_get_length(bufferevent_get_output(connection.bev));
+    }
+
+    static void stop_counting(connection_context &it)
+    {
+        if (it.connection->bev)
+            evbuffer_remove_cb(bufferevent_get_input(it.connection->bev), on_input, &it);
+        it.charge.reset();
+    }
+
+    /// Returns false if the connection has too many unsent answers; it is closed then.
+    bool accept_request(evhtp_connection_t &connection, connection_context &it)
+    {
+        it.request_bytes = 0;
+        if (limits_.max_output == 0 || output_bytes(connection) <= limits_.max_output)
+            return true;
+        limits_.record("answers_unread");
+        ::shutdown(connection.sock, SHUT_RDWR);
+        return false;
+    }
+
     static evhtp_res on_accept(evhtp_connection_t *connection, void *self)
     {
         auto *const me = static_cast<impl *>(self);
-        auto *const context = new connection_context{me, me->next_id_++};
+        auto *const context = new connection_context{me, me->next_id_++, connection, 0, {}};
         me->connections_[context->id] = connection;
+        me->contexts_[context->id] = context;
+        if (me->limits_.account)
+            context->charge.emplace(me->limits_.account, limits::client_class::operators, [me, connection] {
+                me->limits_.record("memory");
+                ::shutdown(connection->sock, SHUT_RDWR);
+            });
+        evbuffer_add_cb(bufferevent_get_input(connection->bev), on_input, context);
         const int on = 1;
         setsockopt(connection->sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini, to_hook(on_connection_fini),
@@ -197,7 +267,9 @@
     static evhtp_res on_connection_fini(evhtp_connection_t * /*connection*/, void *arg)
     {
         const std::unique_ptr<connection_context> context(static_cast<connection_context *>(arg));
+        stop_counting(*context);
         context->server->connections_.erase(context->id);
+        context->server->contexts_.erase(context->id);
         if (context->server->connection_end_)
             context->server->connection_end_(context->id);
         return EVHTP_RES_OK;
@@ -220,6 +292,12 @@
     static void on_request(evhtp_request_t *request, void *self)
     {
         auto *const me = static_cast<impl *>(self);
+        const auto number = me->id_of(request->conn);
+        const auto context = me->contexts_.find(number);
+        if (context != me->contexts_.end() && !me->accept_request(*request->conn, *context->second)) {
+            refuse_request(request, nullptr);
+            return;
+        }
         server_request out;
         out.method = method_of(request);
         if (request->uri->path->full)
@@ -232,7 +310,7 @@
         out.session_token = header_of(request, session_header);
         out.authorization = header_of(request, "Authorization");
         out.user_agent = header_of(request, "User-Agent");
-        out.connection = me->id_of(request->conn);
+        out.connection = number;
         for (const auto &it : me->captured_headers_)
             out.captured_headers.push_back({it, header_of(request, it.c_str())});
         const auto answer = std::make_shared<evhtp_responder>(request);
@@ -241,12 +319,14 @@
     }
 
     evhtp_t *htp_;
+    std::map<std::uint64_t, connection_context *> contexts_; ///< of `connections_`; their hooks own them
     bool listening_ = true;
     std::uint64_t next_id_ = 1;
 };
 
-http_server::http_server(event_base *base, const support::address &at, std::size_t max_body, handler handle)
-    : impl_(std::make_unique<impl>(base, at, max_body, std::move(handle)))
+http_server::http_server(event_base *base, const support::address &at, std::size_t max_body, handler handle,
+                         server_limits limits)
+    : impl_(std::make_unique<impl>(base, at, max_body, std::move(handle), std::move(limits)))
 {
 }
 
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "http/http_types.h"
+#include "limits/memory_account.h"
 #include "support/address.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -28,6 +30,17 @@
     virtual void send(const server_reply &reply) = 0;
 };
 
+/// Bounds of a server against its clients. By default there are none but that of a request's body.
+struct server_limits
+{
+    std::size_t max_connections = 0; ///< 0: no bound; further ones replace the oldest
+    std::size_t max_request = 0;     ///< bytes of head and body together; 0: no bound
+    std::size_t max_output = 0; ///< bytes of unsent answers above which the connection is closed; 0: no bound
+    std::chrono::seconds timeout{0};                 ///< without a byte sent or received; 0: none
+    std::shared_ptr<limits::memory_account> account; ///< null: nothing is charged
+    std::function<void(const char *reason)> record = [](auto) {}; ///< called for each measure
+};
+
 /**
  * Listens on one address and passes each request to a handler.
  */
@@ -41,7 +54,8 @@
      * Listens on the address. Throws `std::runtime_error`, naming the address, if it cannot be bound.
      * `max_body` is in bytes.
      */
-    http_server(event_base *base, const support::address &at, std::size_t max_body, handler handle);
+    http_server(event_base *base, const support::address &at, std::size_t max_body, handler handle,
+                server_limits limits = {});
     ~http_server();
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
--- a/src/inner/pooler_links.cpp
+++ b/src/inner/pooler_links.cpp
@@ -7,8 +7,8 @@
 
 namespace baobabport::inner {
 
-pooler_links::pooler_links(event_base *base, std::string process, shared_keys keys)
-    : base_(base), process_(std::move(process)), keys_(std::move(keys))
+pooler_links::pooler_links(event_base *base, std::string process, shared_keys keys, link_limits limits)
+    : base_(base), process_(std::move(process)), keys_(std::move(keys)), limits_(std::move(limits))
 {
 }
 
@@ -37,7 +37,7 @@
             links_[pooler].connection.reset();
         };
         link.connection =
-            stream_connection::connect(base_, link.peer_address, process_, keys_, std::move(hooks));
+            stream_connection::connect(base_, link.peer_address, process_, keys_, std::move(hooks), limits_);
     }
     link.connection->send(kind, std::move(body), timeout, std::move(done));
 }
--- a/src/inner/pooler_links.h
+++ b/src/inner/pooler_links.h
@@ -22,7 +22,8 @@
 class pooler_links
 {
 public:
-    pooler_links(event_base *base, std::string process, shared_keys keys);
+    /// `limits` bound the answers that arrive.
+    pooler_links(event_base *base, std::string process, shared_keys keys, link_limits limits = {});
 
     /// Adds a pooler, or changes its address.
     void set_address(const std::string &pooler, const support::address &peer_address);
@@ -47,6 +48,7 @@
     event_base *base_;
     std::string process_;
     shared_keys keys_;
+    link_limits limits_;
     std::map<std::string, link> links_;
 };
 
--- a/src/inner/stream_connection.cpp
+++ b/src/inner/stream_connection.cpp
@@ -27,6 +27,12 @@
 constexpr std::uint32_t max_streams = 20000;
 constexpr std::int32_t connection_window = 16 << 20;
 constexpr std::chrono::milliseconds hello_timeout{3000};
+/// The output buffer is filled again when it holds fewer bytes.
+constexpr std::size_t low_output = std::size_t{64} * 1024;
+/// Memory of a stream without its message, here and in nghttp2.
+constexpr std::size_t stream_overhead = 1024;
+/// A process whose messages wait to be sent reads something within this time.
+constexpr std::chrono::milliseconds unread_timeout{30000};
 
 struct kind_path
 {
@@ -79,10 +85,13 @@
 class stream_connection::impl
 {
 public:
-    impl(event_base *base, bool client, std::string process, shared_keys keys, hooks connection_hooks)
+    impl(event_base *base, bool client, std::string process, shared_keys keys, hooks connection_hooks,
+         link_limits limits)
         : base_(base), client_(client), process_(std::move(process)), keys_(std::move(keys)),
-          hooks_(std::move(connection_hooks)), nonce_(support::to_base64(support::random_bytes(nonce_size)))
+          hooks_(std::move(connection_hooks)), limits_(std::move(limits)),
+          nonce_(support::to_base64(support::random_bytes(nonce_size)))
     {
+        set_class(client ? limits::client_class::peers : limits::client_class::strangers);
     }
 
     ~impl()
@@ -101,6 +110,8 @@
             bufferevent_free(socket_);
         if (close_event_)
             event_free(close_event_);
+        if (proof_timer_)
+            event_free(proof_timer_);
     }
     impl(const impl &) = delete;
     impl &operator=(const impl &) = delete;
@@ -124,6 +135,12 @@
         socket_ = bufferevent_socket_new(base_, socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
         support::tune_socket(socket);
         start_socket();
+        const auto unread = to_timeval(unread_timeout);
+        bufferevent_set_timeouts(socket_, nullptr, &unread);
+        const auto proof = to_timeval(proof_timeout);
+        proof_timer_ = evtimer_new(
+            base_, [](int, short, void *self) { static_cast<impl *>(self)->check_proof(); }, this);
+        evtimer_add(proof_timer_, &proof);
         start_session();
         flush();
     }
@@ -158,6 +175,9 @@
             return false;
         it->second.out = std::move(body);
         it->second.out_sent = 0;
+        hold(it->second, it->second.out.size());
+        if (closed_)
+            return false;
         const std::array<nghttp2_nv, 1> headers{header(":status", "200")};
         nghttp2_data_provider provider{};
         provider.source.ptr = this;
@@ -184,6 +204,7 @@
     }
 
     [[nodiscard]] bool ready() const { return authenticated_ && !closed_ && !peer_stopping_; }
+    [[nodiscard]] bool proved() const { return authenticated_; }
     [[nodiscard]] bool stopping() const { return peer_stopping_; }
     [[nodiscard]] std::size_t outstanding() const { return client_ ? streams_.size() + queued_.size() : 0; }
 
@@ -205,6 +226,7 @@
         std::string in;
         std::string out;
         std::size_t out_sent = 0;
+        std::size_t held = 0; ///< bytes that are charged for it
         outcome_hook done;
         event *timer = nullptr;
         bool too_long = false;
@@ -212,7 +234,8 @@
 
     void start_socket()
     {
-        bufferevent_setcb(socket_, on_read, nullptr, on_event, this);
+        bufferevent_setcb(socket_, on_read, on_write, on_event, this);
+        bufferevent_setwatermark(socket_, EV_WRITE, low_output, 0);
         bufferevent_enable(socket_, EV_READ | EV_WRITE);
     }
 
@@ -308,7 +331,7 @@
         if (closed_)
             return;
         auto *const out = bufferevent_get_output(socket_);
-        while (true) {
+        while (evbuffer_get_length(out) < max_output) {
             const std::uint8_t *data = nullptr;
             const auto n = nghttp2_session_mem_send(session_, &data);
             if (n < 0) {
@@ -326,6 +349,7 @@
         const auto it = streams_.find(id);
         if (it == streams_.end())
             return;
+        set_held(it->second, 0);
         auto done = std::move(it->second.done);
         if (it->second.timer)
             event_free(it->second.timer);
@@ -334,6 +358,81 @@
             done(outcome);
     }
 
+    /// Charges what the link holds to this class from now on.
+    void set_class(limits::client_class of)
+    {
+        if (!limits_.account)
+            return;
+        class_ = of;
+        charge_.emplace(limits_.account, of, [this] { shed(); });
+        charge();
+    }
+
+    void charge()
+    {
+        if (charge_ && socket_)
+            charge_->resize(held_ + evbuffer_get_length(bufferevent_get_output(socket_)));
+    }
+
+    /// Charges a stream and this many bytes for it. This may shed the link.
+    void hold(stream &it, std::size_t bytes) { set_held(it, stream_overhead + bytes); }
+
+    void set_held(stream &it, std::size_t bytes)
+    {
+        held_ = held_ - it.held + bytes;
+        it.held = bytes;
+        charge();
+    }
+
+    /// Returns whether the link may receive this many more bytes. A stranger always may: if the strangers
+    /// have too much together, the one that has most is closed, and a process that proves its key has little.
+    [[nodiscard]] bool has_room(std::size_t bytes) const
+    {
+        return !charge_ || class_ == limits::client_class::strangers || limits_.account->fits(class_, bytes);
+    }
+
+    /// Releases what the link holds, since it holds the most of all. The server's end closes it; the client's
+    /// end goes on without the answers that were arriving.
+    void shed()
+    {
+        limits_.record("memory");
+        if (!client_)
+            schedule_close("memory");
+        held_ = 0;
+        for (auto &[id, it] : streams_) {
+            it.held = 0;
+            it.too_long = it.too_long || !it.in.empty();
+            it.in = {};
+            if (client_)
+                continue;
+            it.out = {};
+            it.out_sent = 0;
+        }
+        charge_->resize(0);
+    }
+
+    /// Closes the link for what the other side did before it proved its key.
+    void close_unproved(const char *reason)
+    {
+        if (closed_)
+            return;
+        limits_.record(reason);
+        schedule_close(reason);
+    }
+
+    void check_proof()
+    {
+        if (!authenticated_)
+            close_unproved("no_proof");
+    }
+
+    void refuse_for_memory(stream_id id)
+    {
+        limits_.record("message_refused");
+        nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id, NGHTTP2_REFUSED_STREAM);
+        end_stream(id, {});
+    }
+
     void schedule_close(const std::string &reason)
     {
         if (closed_)
@@ -391,6 +490,8 @@
         me->flush();
     }
 
+    static void on_write(bufferevent * /*socket*/, void *self) { static_cast<impl *>(self)->flush(); }
+
     static void on_event(bufferevent * /*socket*/, short what, void *self)
     {
         auto *const me = static_cast<impl *>(self);
@@ -428,6 +529,10 @@
             auto &it = me->streams_[frame->hd.stream_id];
             it.owner = me;
             it.id = frame->hd.stream_id;
+            if (me->has_room(stream_overhead))
+                me->hold(it, 0);
+            else
+                me->refuse_for_memory(frame->hd.stream_id);
         }
         return 0;
     }
@@ -444,9 +549,11 @@
         for (const auto &it : kind_paths) {
             if (path != it.path)
                 continue;
-            auto &stream = me->streams_[frame->hd.stream_id];
-            stream.kind = it.kind;
-            stream.known_kind = true;
+            const auto stream = me->streams_.find(frame->hd.stream_id);
+            if (stream == me->streams_.end())
+                break; // refused
+            stream->second.kind = it.kind;
+            stream->second.known_kind = true;
         }
         return 0;
     }
@@ -456,12 +563,32 @@
     {
         auto *const me = static_cast<impl *>(self);
         const auto it = me->streams_.find(id);
-        if (it == me->streams_.end())
+        if (it == me->streams_.end() || me->closed_)
+            return 0;
+        auto &in = it->second.in;
+        const bool proves = it->second.kind == message_kind::hello || it->second.kind == message_kind::prove;
+        if (!me->client_ && proves && in.size() + length > max_proof_message) {
+            me->close_unproved("proof_too_long");
             return 0;
-        if (it->second.in.size() + length > max_message)
+        }
+        if (in.size() + length > max_message) {
             it->second.too_long = true;
-        else
-            it->second.in.append(reinterpret_cast<const char *>(data), length);
+            return 0;
+        }
+        if (!me->has_room(length * copies_of_message)) {
+            if (!me->client_) {
+                me->refuse_for_memory(id);
+                return 0;
+            }
+            me->limits_.record("answer_dropped");
+            it->second.too_long = true;
+            in = {};
+            me->hold(it->second, 0);
+        }
+        if (it->second.too_long)
+            return 0;
+        in.append(reinterpret_cast<const char *>(data), length);
+        me->hold(it->second, in.size() * copies_of_message);
         return 0;
     }
 
@@ -498,6 +625,8 @@
     void handle_message(stream &it)
     {
         const auto id = it.id;
+        if (closed_)
+            return;
         if (it.too_long || !it.known_kind) {
             nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id, NGHTTP2_REFUSED_STREAM);
             return;
@@ -538,6 +667,7 @@
             return;
         }
         authenticated_ = true;
+        set_class(limits::client_class::peers);
         reply(id, {});
     }
 
@@ -546,10 +676,15 @@
     std::string process_;
     shared_keys keys_;
     hooks hooks_;
+    link_limits limits_;
     std::string nonce_;
     bufferevent *socket_ = nullptr;
     nghttp2_session *session_ = nullptr;
     event *close_event_ = nullptr;
+    event *proof_timer_ = nullptr;
+    std::optional<limits::memory_charge> charge_;
+    limits::client_class class_ = limits::client_class::peers; ///< of `charge_`
+    std::size_t held_ = 0;                                     ///< sum of the streams' `held`
     std::map<stream_id, stream> streams_; ///< timers point to the entries, whose addresses must stay valid
     std::vector<outgoing> queued_;        ///< until the other side has proved its key
     std::string reason_;
@@ -561,18 +696,22 @@
 
 std::unique_ptr<stream_connection> stream_connection::connect(event_base *base, const support::address &to,
                                                               const std::string &process,
-                                                              const shared_keys &keys, hooks connection_hooks)
+                                                              const shared_keys &keys, hooks connection_hooks,
+                                                              link_limits limits)
 {
-    auto it = std::make_unique<impl>(base, true, process, keys, std::move(connection_hooks));
+    auto it =
+        std::make_unique<impl>(base, true, process, keys, std::move(connection_hooks), std::move(limits));
     it->start_client(to);
     return std::unique_ptr<stream_connection>(new stream_connection(std::move(it)));
 }
 
 std::unique_ptr<stream_connection> stream_connection::accept(event_base *base, int socket,
                                                              const std::string &process,
-                                                             const shared_keys &keys, hooks connection_hooks)
+                                                             const shared_keys &keys, hooks connection_hooks,
+                                                             link_limits limits)
 {
-    auto it = std::make_unique<impl>(base, false, process, keys, std::move(connection_hooks));
+    auto it =
+        std::make_unique<impl>(base, false, process, keys, std::move(connection_hooks), std::move(limits));
     it->start_server(socket);
     return std::unique_ptr<stream_connection>(new stream_connection(std::move(it)));
 }
@@ -602,6 +741,10 @@
 {
     return impl_->ready();
 }
+bool stream_connection::proved() const
+{
+    return impl_->proved();
+}
 bool stream_connection::stopping() const
 {
     return impl_->stopping();
--- a/src/inner/stream_connection.h
+++ b/src/inner/stream_connection.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "limits/memory_account.h"
 #include "support/address.h"
 
 #include <chrono>
@@ -43,6 +44,13 @@
     std::string former_key;
 };
 
+/// The bounds of a link.
+struct link_limits
+{
+    std::shared_ptr<limits::memory_account> account;              ///< null: messages are not charged
+    std::function<void(const char *reason)> record = [](auto) {}; ///< called for each measure against a link
+};
+
 /**
  * One end of a connection.
  *
@@ -68,11 +76,12 @@
     /// Connects to the address. A failure is reported through `closed`.
     static std::unique_ptr<stream_connection> connect(event_base *base, const support::address &to,
                                                       const std::string &process, const shared_keys &keys,
-                                                      hooks connection_hooks);
+                                                      hooks connection_hooks, link_limits limits = {});
 
     /// Returns the server's end of a connection on an accepted socket, which it then owns.
     static std::unique_ptr<stream_connection> accept(event_base *base, int socket, const std::string &process,
-                                                     const shared_keys &keys, hooks connection_hooks);
+                                                     const shared_keys &keys, hooks connection_hooks,
+                                                     link_limits limits = {});
 
     ~stream_connection();
     stream_connection(const stream_connection &) = delete;
@@ -93,6 +102,9 @@
 
     [[nodiscard]] bool ready() const;
 
+    /// Returns whether the other side has proved its key.
+    [[nodiscard]] bool proved() const;
+
     /// Returns whether the other side announced its stop.
     [[nodiscard]] bool stopping() const;
 
@@ -101,6 +113,16 @@
 
     static constexpr std::size_t max_message = 4U << 20U; ///< bytes
 
+    /// The server's end closes a link that has not proved its key within this time: longer than the client's
+    /// end waits for the two answers that it needs, 3 s each.
+    static constexpr std::chrono::milliseconds proof_timeout{7000};
+    /// Maximum size of the two messages of the proof, in bytes.
+    static constexpr std::size_t max_proof_message = std::size_t{4} * 1024;
+    /// Bytes of unsent output above which nothing more is encoded; the rest waits in the streams' windows.
+    static constexpr std::size_t max_output = std::size_t{256} * 1024;
+    /// Copies of a message while it is handled: its bytes and the decoded request.
+    static constexpr std::size_t copies_of_message = 2;
+
 private:
     class impl;
     explicit stream_connection(std::unique_ptr<impl> it);
--- a/src/limits/vm_bounds.cpp
+++ b/src/limits/vm_bounds.cpp
@@ -18,8 +18,8 @@
 
 constexpr std::uint64_t own_descriptors = 200;
 constexpr std::uint64_t least_spare_descriptors = 100;
-constexpr double callers_share = 0.6;
-constexpr double peers_share = 0.1;      ///< 281 of 3,010 descriptors; a fleet has 125 VMs
+constexpr double callers_share = 0.5;    ///< 1,405 of 3,010 descriptors; a VM has a few hundred sessions
+constexpr double peers_share = 0.15;     ///< 421 of 3,010 descriptors; the largest fleet has 295 VMs
 constexpr double operators_share = 0.03; ///< at each port; 84 of 3,010 descriptors
 constexpr std::size_t least_operators = 8;
 constexpr std::size_t most_operators = 128;
--- a/src/platform/line_codec.cpp
+++ b/src/platform/line_codec.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <utility>
 #include <vector>
 
 namespace baobabport::platform {
@@ -142,12 +143,25 @@
             buf_.shrink_to_fit();
         return std::nullopt;
     }
+    if (line.length > spare_capacity && begin_ == 0 && buf_.size() == line.length + line_ending.size()) {
+        // A long line that arrived alone is passed on without a copy.
+        buf_.resize(line.length);
+        scanned_ = 0;
+        return std::exchange(buf_, {});
+    }
     std::string out = buf_.substr(begin_, line.length);
     begin_ += line.length + line_ending.size();
     scanned_ = begin_;
     return out;
 }
 
+void line_reader::clear()
+{
+    buf_ = {};
+    begin_ = 0;
+    scanned_ = 0;
+}
+
 bool fits_in_line(std::string_view text)
 {
     return text.find(line_ending) == std::string_view::npos;
--- a/src/platform/line_codec.h
+++ b/src/platform/line_codec.h
@@ -34,6 +34,15 @@
     /// Returns true if a line, complete or not, is longer than `max_message`, without its line ending.
     [[nodiscard]] bool overflowed() const { return first_line().length > max_message; }
 
+    /// Returns the bytes of memory that it holds.
+    [[nodiscard]] std::size_t held_bytes() const { return buf_.capacity(); }
+
+    /// Returns true if a line has begun and its end has not arrived, or has not been looked for.
+    [[nodiscard]] bool has_rest() const { return begin_ < buf_.size(); }
+
+    /// Forgets the bytes that have not been returned, and their memory.
+    void clear();
+
 private:
     struct extent
     {
--- a/src/proxy/caller_task.cpp
+++ b/src/proxy/caller_task.cpp
@@ -23,66 +23,63 @@
 namespace {
 
 constexpr const char *keys_outdated = "the desired state is too old to verify keys; retry in 1000 ms";
+constexpr const char *no_memory = "no memory is left for a statement of this size; retry in 1000 ms";
 
 } // namespace
 
 caller_task::caller_task(const session_environment &environment, int socket, std::uint64_t number,
                          std::function<void(std::uint64_t)> ended)
-    : environment_(environment), number_(number), ended_(std::move(ended)),
+    : environment_(environment), accepted_(socket), number_(number), ended_(std::move(ended)),
       session_(std::make_shared<session::session_context>()), last_message_(clock_type::now())
 {
-    socket_ = bufferevent_socket_new(environment_.base, socket, BEV_OPT_CLOSE_ON_FREE);
-    support::tune_socket(socket);
 }
 
-caller_task::~caller_task()
-{
-    if (socket_)
-        bufferevent_free(socket_);
-}
+caller_task::~caller_task() = default;
 
 void caller_task::start()
 {
-    bufferevent_setcb(socket_, on_read, on_write, on_event, this);
-    bufferevent_setwatermark(socket_, EV_READ, 0, max_buffered_input);
-    bufferevent_enable(socket_, EV_READ | EV_WRITE);
+    buffers_ = std::make_unique<caller_buffers>(environment_.base, accepted_, environment_.limits,
+                                                [weak = weak_from_this()] {
+                                                    if (const auto me = weak.lock())
+                                                        me->shed("memory");
+                                                });
+    bufferevent_setcb(buffers_->socket(), on_read, on_write, on_event, this);
+    buffers_->start();
 }
 
 void caller_task::on_read(bufferevent * /*socket*/, void *self)
 {
     const auto me = static_cast<caller_task *>(self)->shared_from_this();
-    me->process_lines();
-}
-
-std::optional<std::string> caller_task::next_line()
-{
-    if (auto line = reader_.next())
-        return line;
-    auto *const input = bufferevent_get_input(socket_);
-    std::string bytes(evbuffer_get_length(input), '\0');
-    evbuffer_remove(input, bytes.data(), bytes.size());
-    reader_.append(bytes);
-    return reader_.next();
+    try {
+        me->buffers_->note_arrival(clock_type::now());
+        me->process_lines();
+        me->charge();
+    } catch (const std::bad_alloc &) {
+        me->shed("no_memory");
+    }
 }
 
 void caller_task::on_write(bufferevent * /*socket*/, void *self)
 {
     const auto me = static_cast<caller_task *>(self)->shared_from_this();
-    if (me->phase_ == phase::closing)
+    if (me->phase_ == phase::closing) {
         me->end();
-    else
+        return;
+    }
+    try {
         me->process_lines(); // the output buffer has drained; statements may start again
-}
-
-bool caller_task::output_is_full() const
-{
-    return evbuffer_get_length(bufferevent_get_output(socket_)) > max_buffered_output;
+        me->charge();
+    } catch (const std::bad_alloc &) {
+        me->shed("no_memory");
+    }
 }
 
 void caller_task::on_event(bufferevent * /*socket*/, short what, void *self)
 {
     const auto me = static_cast<caller_task *>(self)->shared_from_this();
-    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
+    if (what & BEV_EVENT_TIMEOUT)
+        me->shed("answers_unread");
+    else if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
         me->end();
 }
 
@@ -92,14 +89,14 @@
         return; // a statement completed synchronously; the outer call continues its loop
     processing_lines_ = true;
     // One statement at a time; pipelined statements stay in the input buffer.
-    while (socket_ && !run_ && !awaits_routes_ && phase_ != phase::closing && !output_is_full()) {
-        const auto line = next_line();
+    while (open() && !run_ && !awaits_routes_ && phase_ != phase::closing && !buffers_->output_is_full()) {
+        const auto line = buffers_->next_line();
         if (!line)
             break;
         handle_message(platform::read_caller_line(*line));
     }
     processing_lines_ = false;
-    if (socket_ && reader_.overflowed()) {
+    if (open() && phase_ != phase::closing && buffers_->overflowed()) {
         std::string out;
         platform::write_failure(answer_code::malformed, "the message is too long", out);
         reply(out);
@@ -107,6 +104,41 @@
     }
 }
 
+void caller_task::charge()
+{
+    if (!open())
+        return;
+    const bool waits_for_message =
+        !run_ && !awaits_routes_ && phase_ != phase::closing && !buffers_->output_is_full();
+    buffers_->charge(session_->held_bytes(), run_ ? statement_bytes_ : 0, waits_for_message,
+                     clock_type::now());
+}
+
+bool caller_task::has_room(std::size_t bytes)
+{
+    if (buffers_->has_room(bytes))
+        return true;
+    environment_.limits->record(limits::client_class::callers, "statement_refused");
+    failed_transaction_ = transaction_ != nullptr;
+    reply_failure(transaction_ ? answer_code::aborted : answer_code::busy, no_memory);
+    return false;
+}
+
+std::optional<time_point> caller_task::resting_since() const
+{
+    if (run_ || (transaction_ && !failed_transaction_))
+        return std::nullopt;
+    return last_message_;
+}
+
+void caller_task::shed(const char *reason)
+{
+    if (!open())
+        return;
+    environment_.limits->record(limits::client_class::callers, reason);
+    end();
+}
+
 void caller_task::handle_message(const session::caller_message &message)
 {
     last_message_ = clock_type::now();
@@ -208,7 +240,7 @@
 
 void caller_task::check_key()
 {
-    if (phase_ != phase::ready || key_removed_ || workspace_.empty() || !socket_)
+    if (phase_ != phase::ready || key_removed_ || workspace_.empty() || !open())
         return;
     const auto owner = environment_.keys->find(key_hash_);
     const bool valid = owner ? owner->name == workspace_ : !environment_.keys->required();
@@ -225,7 +257,7 @@
     } else if (transaction_) {
         end_transaction("the key was removed");
     }
-    if (socket_ && idle())
+    if (open() && idle())
         close_after_write();
 }
 
@@ -273,8 +305,7 @@
     }
 }
 
-void caller_task::answer_locally(const session::statement &what,
-                                 const session::statement_request & /*message*/)
+void caller_task::answer_locally(const session::statement &what, const session::statement_request &message)
 {
     switch (what.kind) {
     case statement_kind::begin:
@@ -285,10 +316,14 @@
         roll_back();
         return;
     case statement_kind::set_value:
+        if (!has_room(message.text.size()))
+            return;
         if (!session_->set_value(what.name, what.argument))
             return reply_failure(answer_code::malformed, session_->last_reason());
         break;
     case statement_kind::prepare:
+        if (!has_room(message.text.size()))
+            return;
         if (!session_->prepare(what.name, {what.prepares_write, what.argument}))
             return reply_failure(answer_code::malformed, session_->last_reason());
         break;
@@ -337,6 +372,8 @@
             return reply_failure(answer_code::aborted, "the transaction had failed and is rolled back");
         }
     }
+    if (what.kind != statement_kind::commit && !has_room(message.text.size()))
+        return;
     run_request request;
     request.id = message.id;
     request.text = message.text;
@@ -359,6 +396,7 @@
         request.writes = prepared->writes;
     }
     const auto group = transaction_ ? transaction_->group : environment_.group_of(request.route->service);
+    statement_bytes_ = message.text.size();
     run_ = std::make_shared<statement_run>(environment_.base, environment_.executor, std::move(request),
                                            session_, group, transaction_);
     const std::weak_ptr<caller_task> weak = weak_from_this();
@@ -406,6 +444,7 @@
     if ((close_when_idle_ && idle()) || key_removed_)
         return close_after_write();
     process_lines();
+    charge();
 }
 
 void caller_task::reply_success()
@@ -428,8 +467,8 @@
 
 void caller_task::reply(const std::string &bytes)
 {
-    if (socket_)
-        bufferevent_write(socket_, bytes.data(), bytes.size());
+    if (open())
+        buffers_->write(bytes);
 }
 
 void caller_task::release_transaction()
@@ -454,8 +493,16 @@
 
 void caller_task::tick(time_point now)
 {
-    if (!socket_)
+    if (!open())
         return; // it ended within the loop that calls this
+    if (buffers_->awaits_memory())
+        charge();
+    if (!open())
+        return; // it was shed
+    if (const auto *const reason = buffers_->expired(now)) {
+        shed(reason);
+        return;
+    }
     if (awaits_routes_ && (environment_.routes->loaded() || now - last_message_ > routes_timeout)) {
         open_session();
         process_lines();
@@ -483,19 +530,18 @@
 void caller_task::close_after_write()
 {
     phase_ = phase::closing;
-    if (!socket_)
+    if (!open())
         return;
-    bufferevent_disable(socket_, EV_READ);
-    if (evbuffer_get_length(bufferevent_get_output(socket_)) == 0)
+    buffers_->stop_reading();
+    if (evbuffer_get_length(bufferevent_get_output(buffers_->socket())) == 0)
         end();
 }
 
 void caller_task::end()
 {
-    if (!socket_)
+    if (!open())
         return;
-    bufferevent_free(socket_);
-    socket_ = nullptr;
+    buffers_->close();
     if (run_) {
         run_->abandon();
         run_.reset();
--- a/src/proxy/caller_task.h
+++ b/src/proxy/caller_task.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "directory/route_table.h"
+#include "proxy/caller_buffers.h"
 #include "proxy/statement_run.h"
 #include "support/metrics.h"
 #include "workspace/key_index.h"
@@ -30,6 +31,7 @@
     statement_executor *executor = nullptr;
     std::function<std::shared_ptr<group_task>(const std::string &service)> group_of;
     std::function<void()> directory_needed; ///< called while a caller waits for the first desired state
+    std::shared_ptr<client_limits> limits;
 };
 
 /**
@@ -47,10 +49,6 @@
     /// A session waits this long for the first desired state of a process that has just started: many times
     /// as long as the store usually takes to answer. Later answers are too late for the caller.
     static constexpr std::chrono::milliseconds routes_timeout{150};
-    /// Bytes of input that are buffered while a statement runs; the rest stays in the caller's socket.
-    static constexpr std::size_t max_buffered_input = std::size_t{256} * 1024;
-    /// Bytes of unsent output above which no further statement of the caller is started.
-    static constexpr std::size_t max_buffered_output = std::size_t{4} * 1024 * 1024;
 
     caller_task(const session_environment &environment, int socket, std::uint64_t number,
                 std::function<void(std::uint64_t)> ended);
@@ -70,8 +68,18 @@
     /// Rolls back the open transaction unless a statement runs; the session is idle once the caller ends it.
     void end_transaction(const std::string &reason);
 
+    /// Closes the session because of a limit.
+    void shed(const char *reason);
+
     [[nodiscard]] bool idle() const { return !run_ && !transaction_; }
 
+    /// Returns true if the caller has named no database yet.
+    [[nodiscard]] bool silent() const { return phase_ == phase::opening && !awaits_routes_; }
+
+    /// Returns when the caller sent its last message, if the session runs nothing and has no transaction that
+    /// could still be committed.
+    [[nodiscard]] std::optional<time_point> resting_since() const;
+
 private:
     enum class phase : std::uint8_t
     {
@@ -85,8 +93,10 @@
     static void on_event(bufferevent *socket, short what, void *self);
 
     void process_lines();
-    std::optional<std::string> next_line();
-    [[nodiscard]] bool output_is_full() const;
+    /// Charges what the session holds. This may end it, or other sessions.
+    void charge();
+    /// Returns false, with a reason, if there is no memory for a statement of this size.
+    bool has_room(std::size_t bytes);
     void handle_message(const session::caller_message &message);
     void handle_message(const session::open_session &message);
     void open_session();
@@ -110,10 +120,13 @@
     [[nodiscard]] std::shared_ptr<const directory::route> route();
 
     session_environment environment_;
-    bufferevent *socket_ = nullptr;
+    [[nodiscard]] bool open() const { return buffers_ && buffers_->socket(); }
+
+    std::unique_ptr<caller_buffers> buffers_; ///< from `start`
+    int accepted_;                            ///< the socket, until `start`
     std::uint64_t number_;
     std::function<void(std::uint64_t)> ended_;
-    platform::line_reader reader_;
+    std::size_t statement_bytes_ = 0; ///< of the statement that runs
     phase phase_ = phase::opening;
     std::string database_;
     std::string key_hash_;  ///< of the key that the caller presented
--- a/src/proxy/group_task.cpp
+++ b/src/proxy/group_task.cpp
@@ -98,11 +98,13 @@
             it.excluded_until = clock_type::now() + exclusion_period;
         });
     };
-    return std::make_shared<instance_pool>(
-        base_,
-        upstream_target{
-            .at = record.at, .service = identity_.service, .instance = record.id, .caller = identity_.caller},
-        limit, std::move(health));
+    return std::make_shared<instance_pool>(base_,
+                                           upstream_target{.at = record.at,
+                                                           .service = identity_.service,
+                                                           .instance = record.id,
+                                                           .caller = identity_.caller,
+                                                           .memory = identity_.memory},
+                                           limit, std::move(health));
 }
 
 std::shared_ptr<instance_pool> group_task::primary_pool() const
--- a/src/proxy/group_task.h
+++ b/src/proxy/group_task.h
@@ -53,6 +53,7 @@
     std::string service;
     std::string caller;
     std::string data_centre;
+    std::shared_ptr<limits::memory_account> memory = nullptr; ///< charged with answers; null: they are not
 };
 
 /**
--- a/src/proxy/peer_task.cpp
+++ b/src/proxy/peer_task.cpp
@@ -6,6 +6,7 @@
 #include "support/socket_options.h"
 
 #include <algorithm>
+#include <event2/util.h>
 #include <utility>
 
 namespace baobabport::proxy {
@@ -14,8 +15,10 @@
 using inner::execute_outcome;
 using inner::message_kind;
 
-peer_task::peer_task(event_base *base, peer_identity self, local_executor &executor)
-    : base_(base), self_(std::move(self)), local_executor_(executor), links_(base, self_.vm, {self_.key, {}})
+peer_task::peer_task(event_base *base, peer_identity self, local_executor &executor,
+                     std::shared_ptr<client_limits> limits)
+    : base_(base), self_(std::move(self)), local_executor_(executor), limits_(std::move(limits)),
+      links_(base, self_.vm, {self_.key, {}}, limits_of_links())
 {
     listener_.emplace(base, self_.at, [this](int socket) { accept(socket); });
 }
@@ -25,8 +28,41 @@
     listener_.reset();
 }
 
+bool peer_task::make_room()
+{
+    if (!limits_ || accepted_links_.size() < limits_->connections().peers)
+        return true;
+    // Another process proves its key at once; the oldest link without a proof is most likely a stranger's.
+    const auto stranger = std::find_if(accepted_links_.begin(), accepted_links_.end(), [](const auto &it) {
+        return it.second.connection && !it.second.connection->proved();
+    });
+    record_measure("connections");
+    if (stranger == accepted_links_.end())
+        return false;
+    accepted_links_.erase(stranger);
+    return true;
+}
+
+inner::link_limits peer_task::limits_of_links()
+{
+    inner::link_limits out;
+    out.account = limits_ ? limits_->account() : nullptr;
+    out.record = [this](const char *reason) { record_measure(reason); };
+    return out;
+}
+
+void peer_task::record_measure(const char *reason)
+{
+    if (limits_)
+        limits_->record(limits::client_class::peers, reason);
+}
+
 void peer_task::accept(int socket)
 {
+    if (!make_room()) {
+        evutil_closesocket(socket);
+        return;
+    }
     const auto owner = ++last_owner_;
     inner::stream_connection::hooks hooks;
     hooks.received = [this, owner](message_kind kind, const std::string &body, auto stream) {
@@ -36,8 +72,8 @@
         local_executor_.end_owner(owner);
         accepted_links_.erase(owner);
     };
-    auto connection =
-        inner::stream_connection::accept(base_, socket, self_.vm, {self_.key, {}}, std::move(hooks));
+    auto connection = inner::stream_connection::accept(base_, socket, self_.vm, {self_.key, {}},
+                                                       std::move(hooks), limits_of_links());
     accepted_links_[owner].connection = std::move(connection);
 }
 
--- a/src/proxy/peer_task.h
+++ b/src/proxy/peer_task.h
@@ -5,6 +5,7 @@
 #include "inner/directory_messages.h"
 #include "inner/lease_messages.h"
 #include "inner/pooler_links.h"
+#include "proxy/client_limits.h"
 #include "proxy/local_executor.h"
 #include "support/socket_options.h"
 
@@ -54,7 +55,9 @@
     /// Number of ranks that are tried as a home; more would only spread an instance's connections.
     static constexpr std::size_t max_ranks = 3;
 
-    peer_task(event_base *base, peer_identity self, local_executor &executor);
+    /// `limits` bound what accepted links hold; null: no bounds.
+    peer_task(event_base *base, peer_identity self, local_executor &executor,
+              std::shared_ptr<client_limits> limits = nullptr);
     ~peer_task() = default;
     peer_task(const peer_task &) = delete;
     peer_task &operator=(const peer_task &) = delete;
@@ -100,6 +103,11 @@
     };
 
     void accept(int socket);
+    /// Returns whether there is room for one more accepted link, after closing one without a proof if need
+    /// be.
+    bool make_room();
+    void record_measure(const char *reason);
+    [[nodiscard]] inner::link_limits limits_of_links();
     void handle_request(std::uint64_t owner, inner::message_kind kind, const std::string &body,
                         inner::stream_connection::stream_id stream);
     /// Answers a request that was not sent. Its transaction stays open, for the session to end.
@@ -113,6 +121,7 @@
     event_base *base_;
     peer_identity self_;
     local_executor &local_executor_;
+    std::shared_ptr<client_limits> limits_;
     inner::pooler_links links_;
     std::vector<inner::member> members_;
     /// The first `max_ranks` VMs for an instance, by instance and data centre; emptied when the members
--- a/src/proxy/proxy_task.cpp
+++ b/src/proxy/proxy_task.cpp
@@ -4,7 +4,9 @@
 #include "support/json_log.h"
 
 #include <algorithm>
+#include <event2/util.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 #include <utility>
 
 namespace baobabport::proxy {
@@ -16,6 +18,13 @@
 namespace {
 
 constexpr std::size_t max_admin_body = 4096; ///< bytes
+/// A session that has rested for less is not closed for a new one.
+constexpr std::chrono::seconds min_rest{5};
+constexpr std::size_t max_admin_request = std::size_t{32} * 1024; ///< bytes of head and body
+/// Bytes of unsent answers at which a connection's next request closes it; a page has fewer at one VM.
+constexpr std::size_t max_admin_output = std::size_t{64} * 1024;
+/// Without a byte sent or received. A balancer probes every second, scrapers every few; others connect anew.
+constexpr std::chrono::seconds admin_timeout{60};
 
 std::string text_of(const std::optional<support::address> &at)
 {
@@ -37,6 +46,8 @@
     compare("admin", text_of(current.admin), text_of(requested.admin));
     compare("metrics", text_of(current.metrics), text_of(requested.metrics));
     compare("peers", current.peers.text(), requested.peers.text());
+    compare("memory_mb", std::to_string(current.memory_mb), std::to_string(requested.memory_mb));
+    compare("max_fds", std::to_string(current.max_fds), std::to_string(requested.max_fds));
     compare("shortest_store_lease_ms", std::to_string(current.shortest_store_lease.count()),
             std::to_string(requested.shortest_store_lease.count()));
     if (current.promotion_orders.has_value() != requested.promotion_orders.has_value())
@@ -48,6 +59,7 @@
 
 proxy_task::proxy_task(event_base *base, proxy_settings settings, std::function<void()> stopped)
     : base_(base), settings_(std::move(settings)), stopped_(std::move(stopped)),
+      limits_(std::make_shared<client_limits>(settings_.memory_mb, settings_.max_fds, metrics_)),
       store_(base, settings_.store), instances_(settings_.drain_bound),
       desired_state_(base, store_, [this](auto state) { apply(std::move(state)); }),
       instance_list_(
@@ -73,7 +85,8 @@
                     [this] {
                         desired_state_.read_now();
                         instance_list_.list_now();
-                    }};
+                    },
+                    limits_};
     if (settings_.promotion_orders) {
         promotion_client_.emplace(base_, *settings_.promotion_orders);
         election_.emplace(base_, store_, settings_);
@@ -99,19 +112,65 @@
 
 void proxy_task::listen()
 {
+    http::server_limits bounds;
+    bounds.max_connections = limits_->connections().operators;
+    bounds.max_request = max_admin_request;
+    bounds.max_output = max_admin_output;
+    bounds.timeout = admin_timeout;
+    bounds.account = limits_->account();
+    bounds.record = [limits = limits_](const char *reason) {
+        limits->record(limits::client_class::operators, reason);
+    };
     listener_.emplace(base_, settings_.callers, [this](int socket) { accept(socket); });
-    probe_.emplace(base_, settings_.probe, max_admin_body, [this](const auto &, const auto &answer) {
+    const auto probe = [this](const auto &, const auto &answer) {
         answer->send({ready() ? 200 : 503, "{}", {}});
-    });
+    };
+    probe_.emplace(base_, settings_.probe, max_admin_body, probe, bounds);
     const auto admin = [this](const auto &request, const auto &answer) { answer_admin(request, *answer); };
     if (settings_.admin)
-        admin_.emplace(base_, *settings_.admin, max_admin_body, admin);
+        admin_.emplace(base_, *settings_.admin, max_admin_body, admin, bounds);
     if (settings_.metrics)
-        metrics_server_.emplace(base_, *settings_.metrics, max_admin_body, admin);
+        metrics_server_.emplace(base_, *settings_.metrics, max_admin_body, admin, bounds);
+}
+
+bool proxy_task::make_room()
+{
+    if (callers_.size() < limits_->connections().callers)
+        return true;
+    // A caller names its database at once; the oldest session without one is most likely a stranger's.
+    // Otherwise one that has rested longest ends, so that sessions which are left open do not keep all others
+    // out.
+    std::shared_ptr<caller_task> leaves;
+    auto resting_since = clock_type::now() - min_rest;
+    for (const auto &[number, it] : callers_) {
+        if (it->silent()) {
+            leaves = it;
+            break;
+        }
+        const auto since = it->resting_since();
+        if (since && *since <= resting_since) {
+            resting_since = *since;
+            leaves = it;
+        }
+    }
+    if (!leaves) {
+        limits_->record(limits::client_class::callers, "connections");
+        return false;
+    }
+    leaves->shed("connections");
+    return true;
 }
 
 void proxy_task::accept(int socket)
 {
+    if (!make_room()) {
+        // The answer fits into the buffer of a new socket; if it is lost, the caller sees the connection end.
+        std::string out;
+        platform::write_failure(session::answer_code::busy, "the process has no room for more sessions", out);
+        (void)::send(socket, out.data(), out.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        evutil_closesocket(socket);
+        return;
+    }
     const auto number = ++last_caller_;
     auto it = std::make_shared<caller_task>(environment_, socket, number,
                                             [this](std::uint64_t ended) { callers_.erase(ended); });
@@ -181,7 +240,8 @@
     auto &group = groups_[service];
     if (!group) {
         group = std::make_shared<group_task>(
-            base_, executor_, group_identity{service, settings_.process, settings_.data_centre});
+            base_, executor_,
+            group_identity{service, settings_.process, settings_.data_centre, limits_->account()});
         group->set_members(instances_.of_service(service), connection_limit(service));
         if (election_ && promotion_client_)
             failovers_[service] =
@@ -312,6 +372,7 @@
 void proxy_task::refresh_gauges()
 {
     const auto now = clock_type::now();
+    limits_->refresh_gauges();
     metrics_.set("baobabport_sessions", "", static_cast<double>(callers_.size()));
     metrics_.set("baobabport_desired_state_version", "", static_cast<double>(routes_.version()));
     metrics_.set("baobabport_store_calls", "", static_cast<double>(store_.calls()));
--- a/src/proxy/proxy_task.h
+++ b/src/proxy/proxy_task.h
@@ -67,6 +67,9 @@
 private:
     void listen();
     void accept(int socket);
+    /// Returns whether there is room for one more session, after closing one that is silent or rests if need
+    /// be.
+    bool make_room();
     [[nodiscard]] std::vector<std::shared_ptr<caller_task>> sessions() const;
     void apply(directory::desired_state state);
     void apply(std::vector<directory::instance_record> records);
@@ -102,6 +105,7 @@
     proxy_settings settings_;
     std::function<void()> stopped_;
     support::metrics metrics_;
+    std::shared_ptr<client_limits> limits_;
     platform::metadata_client store_;
     directory::route_table routes_;
     workspace::key_index keys_;
--- a/src/proxy/proxy_task_peers.cpp
+++ b/src/proxy/proxy_task_peers.cpp
@@ -67,7 +67,7 @@
         peers_.emplace(
             base_,
             peer_identity{settings_.process, settings_.data_centre, settings_.peers, election_->peer_key()},
-            local_executor_);
+            local_executor_, limits_);
         peers_->set_directory([this](auto part) { return directory(part); });
         peers_->set_members(known_members_);
     }
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -18,6 +18,8 @@
 upstream_connection::upstream_connection(event_base *base, upstream_target target)
     : base_(base), target_(std::move(target))
 {
+    if (target_.memory)
+        charge_.emplace(target_.memory, limits::client_class::callers, [this] { drop_rows(); });
 }
 
 upstream_connection::~upstream_connection()
@@ -75,6 +77,7 @@
     }
     if (me->socket_ && me->reader_.overflowed())
         me->end(std::nullopt);
+    me->charge();
 }
 
 void upstream_connection::on_event(bufferevent * /*socket*/, short what, void *self)
@@ -113,9 +116,10 @@
         return;
     }
     auto &first = waiting_.front().answer;
-    if (const auto *const data = std::get_if<session::row>(&message))
+    if (const auto *const data = std::get_if<session::row>(&message)) {
         first.add_row(data->data);
-    else if (const auto *const done = std::get_if<session::success>(&message))
+        charge();
+    } else if (const auto *const done = std::get_if<session::success>(&message))
         first.receipt = done->receipt;
     else if (const auto *const error = std::get_if<session::failure>(&message))
         first.error = *error;
@@ -123,6 +127,23 @@
         finish_answer(*prompt);
 }
 
+void upstream_connection::charge()
+{
+    if (!charge_)
+        return;
+    std::size_t bytes = socket_ ? reader_.held_bytes() : 0;
+    for (const auto &it : waiting_)
+        bytes += it.answer.rows.empty() ? 0 : it.answer.size;
+    charge_->resize(bytes);
+}
+
+void upstream_connection::drop_rows()
+{
+    for (auto &it : waiting_)
+        it.answer.drop_rows();
+    charge_->resize(socket_ ? reader_.held_bytes() : 0);
+}
+
 void upstream_connection::finish_answer(const session::prompt &end_of_answer)
 {
     auto first = std::move(waiting_.front());
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "limits/memory_account.h"
 #include "platform/line_codec.h"
 #include "session/connection_state.h"
 #include "session/messages.h"
@@ -30,6 +31,7 @@
     std::string service;
     std::string instance; ///< expected at the address; another instance refuses the connection
     std::string caller;   ///< name that the proxy sends as its own
+    std::shared_ptr<limits::memory_account> memory = nullptr; ///< charged with answers; null: they are not
 };
 
 /**
@@ -107,11 +109,15 @@
     static void on_event(bufferevent *socket, short what, void *self);
 
     void handle_message(const session::instance_message &message);
+    void charge();
+    /// Drops the rows that have arrived, since the memory for answers is used up.
+    void drop_rows();
     void finish_answer(const session::prompt &end);
     void end(const std::optional<session::failure> &refusal);
     void close_socket();
 
     event_base *base_;
+    std::optional<limits::memory_charge> charge_; ///< of the answers that are arriving
     upstream_target target_;
     hooks hooks_;
     bufferevent *socket_ = nullptr;
--- a/src/session/messages.h
+++ b/src/session/messages.h
@@ -90,10 +90,14 @@
     prompt end;
     bool cut = false;     ///< too long: the rows are dropped, and `error` says so
     std::size_t size = 0; ///< of all rows that were added
+    bool dropped = false; ///< `drop_rows` was called
 
     /// Adds a row, or drops all rows if there are too many.
     void add_row(std::string data);
 
+    /// Drops all rows, since there is no memory for them, as if there were too many.
+    void drop_rows();
+
     /// Ends the answer. If it is an error, its rows and the end of a long text are dropped.
     void finish(const prompt &at);
 };
--- a/src/session/session_context.h
+++ b/src/session/session_context.h
@@ -59,6 +59,13 @@
 
     [[nodiscard]] const session_values &values() const { return values_; }
 
+    /// Returns the bytes of memory that the values and prepared statements hold, approximately.
+    [[nodiscard]] std::size_t held_bytes() const
+    {
+        constexpr std::size_t entry_bytes = 160; // of a map's node and the strings' own allocations
+        return size_ + (values_.size() + prepared_.size()) * entry_bytes;
+    }
+
     /// Records the log position of a commit of this session.
     void record_commit(consistency::position log);
 
--- a/src/support/socket_options.cpp
+++ b/src/support/socket_options.cpp
@@ -1,6 +1,7 @@
 #include "support/socket_options.h"
 
 #include <arpa/inet.h>
+#include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -44,18 +45,42 @@
 listener::listener(event_base *base, const address &at, accept_hook accepted) : accepted_(std::move(accepted))
 {
     const auto bind_address = to_sockaddr(at);
-    const auto on_accept = [](evconnlistener * /*listener*/, evutil_socket_t socket, sockaddr * /*from*/,
-                              int /*length*/,
-                              void *self) { static_cast<listener *>(self)->accepted_(socket); };
     listener_ = evconnlistener_new_bind(base, on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
                                         listen_backlog, reinterpret_cast<const sockaddr *>(&bind_address),
                                         sizeof(bind_address));
     if (!listener_)
         throw std::runtime_error("cannot listen on " + at.text());
+    const auto on_resume = [](int, short, void *self) {
+        auto &me = *static_cast<listener *>(self);
+        me.accepts_ = 0;
+        evconnlistener_enable(me.listener_);
+    };
+    resume_ = evtimer_new(base, on_resume, this);
+    const auto on_error = [](evconnlistener * /*listener*/, void *self) {
+        static_cast<listener *>(self)->pause(accept_pause);
+    };
+    evconnlistener_set_error_cb(listener_, on_error);
+}
+
+void listener::on_accept(evconnlistener * /*from*/, int socket, sockaddr * /*peer*/, int /*length*/,
+                         void *self)
+{
+    auto &me = *static_cast<listener *>(self);
+    if (++me.accepts_ >= max_accepts)
+        me.pause(std::chrono::milliseconds(0));
+    me.accepted_(socket); // may destroy the listener
+}
+
+void listener::pause(std::chrono::milliseconds time)
+{
+    evconnlistener_disable(listener_);
+    const timeval delay{0, std::chrono::microseconds(time).count()};
+    evtimer_add(resume_, &delay);
 }
 
 listener::~listener()
 {
+    event_free(resume_);
     evconnlistener_free(listener_);
 }
 
--- a/src/support/socket_options.h
+++ b/src/support/socket_options.h
@@ -11,6 +11,7 @@
 
 struct event_base;
 struct evconnlistener;
+struct event;
 
 namespace baobabport::support {
 
@@ -22,11 +23,18 @@
 
 /**
  * Accepts connections on an address and passes each socket to the hook.
+ *
+ * When the process has no descriptor left, it pauses for `accept_pause`: waiting connections would otherwise
+ * keep the loop busy.
  */
 class listener
 {
 public:
     using accept_hook = std::function<void(int socket)>;
+    static constexpr std::chrono::milliseconds accept_pause{50};
+    /// Connections accepted in one turn of the loop. Sockets that are closed to make room for others are free
+    /// only after the turn.
+    static constexpr int max_accepts = 32;
 
     /// Starts to listen; on failure throws `std::runtime_error` with the address.
     listener(event_base *base, const address &at, accept_hook accepted);
@@ -37,6 +45,11 @@
 private:
     accept_hook accepted_;
     evconnlistener *listener_ = nullptr;
+    event *resume_ = nullptr;
+    int accepts_ = 0; ///< in this turn
+
+    static void on_accept(evconnlistener *from, int socket, struct sockaddr *peer, int length, void *self);
+    void pause(std::chrono::milliseconds time);
 };
 
 /**
