--- a/src/proxy/caller_task_keys.cpp
+++ b/src/proxy/caller_task_keys.cpp
@@ -72,7 +72,7 @@
 
 void caller_task::check_key()
 {
-    if (phase_ != phase::ready || key_removed_ || !socket_)
+    if (phase_ != phase::ready || key_removed_ || !open())
         return;
     if (!environment_.keys->required()) {
         workspace_.clear();
@@ -99,7 +99,7 @@
     } else if (transaction_) {
         end_transaction("the key was removed");
     }
-    if (socket_ && idle())
+    if (open() && idle())
         close_after_write();
 }
 
--- a/src/proxy/proxy_task_peers.cpp
+++ b/src/proxy/proxy_task_peers.cpp
@@ -68,7 +68,7 @@
         peers_.emplace(
             base_,
             peer_identity{settings_.process, settings_.data_centre, settings_.peers, election_->peer_key()},
-            local_executor_);
+            local_executor_, limits_);
         peers_->set_quotas(
             [this](auto kind, const auto &body) { return quotas_.answer(kind, body, clock_type::now()); });
         peers_->set_directory([this](auto part) { return directory(part); });
