--- a/src/proxy/quota_task.cpp
+++ b/src/proxy/quota_task.cpp
@@ -71,7 +71,7 @@
     deposit_soon();
 }
 
-void quota_task::withdraw(waiting_operations operations, int attempt)
+void quota_task::withdraw(waiting_operations &&operations, int attempt)
 {
     const auto now = clock_type::now();
     std::map<std::string, std::vector<waiting_group>> by_vm;
--- a/src/proxy/quota_task.h
+++ b/src/proxy/quota_task.h
@@ -93,7 +93,7 @@
     [[nodiscard]] std::vector<std::string> reachable(std::size_t group, time_point now) const;
     [[nodiscard]] std::string pool_of(const std::string &workspace, time_point now) const;
     void avoid(const std::string &vm, time_point now);
-    void withdraw(waiting_operations operations, int attempt);
+    void withdraw(waiting_operations &&operations, int attempt);
     void withdraw_from(const std::string &vm, std::vector<waiting_group> groups, int attempt);
     void handle_withdrawal(const std::vector<waiting_group> &groups, const inner::token_list &given);
     void handle_no_answer(const std::string &vm, std::vector<waiting_group> groups, int attempt);
--- a/tests/quota/quota_fleet.cpp
+++ b/tests/quota/quota_fleet.cpp
@@ -33,7 +33,7 @@
     events_.emplace(when, std::move(action));
 }
 
-void quota_fleet::run_at(std::size_t vm, std::uint64_t incarnation, std::function<void()> action)
+void quota_fleet::run_at(std::size_t vm, std::uint64_t incarnation, const std::function<void()> &action)
 {
     if (!vms_[vm].account || vms_[vm].incarnation != incarnation)
         return;
@@ -45,7 +45,7 @@
     action();
 }
 
-void quota_fleet::deliver(std::size_t from, std::size_t to, std::function<void()> action)
+void quota_fleet::deliver(std::size_t from, std::size_t to, const std::function<void()> &action)
 {
     ++messages_;
     const bool lost = std::uniform_real_distribution<>(0, 1)(random_) < loss;
--- a/tests/quota/quota_fleet.h
+++ b/tests/quota/quota_fleet.h
@@ -79,8 +79,8 @@
 
     void at(time_point when, std::function<void()> action);
     /// Runs the action at the VM after a message's delay, or never.
-    void deliver(std::size_t from, std::size_t to, std::function<void()> action);
-    void run_at(std::size_t vm, std::uint64_t incarnation, std::function<void()> action);
+    void deliver(std::size_t from, std::size_t to, const std::function<void()> &action);
+    void run_at(std::size_t vm, std::uint64_t incarnation, const std::function<void()> &action);
     [[nodiscard]] std::vector<std::size_t> ranks(std::size_t vm, std::size_t group);
     void request(std::size_t vm, const std::string &workspace);
     void withdraw(std::size_t vm, const std::string &workspace, std::size_t attempt);
