Rates are divided by the VMs listed within 30 s, not by the largest list

Cause: while some VMs return from a partition and others are separated, the list keeps its size although all of them issue.

Change: fleet_size counts the distinct VMs of the last 30 s, as does the size that the leader records.

--- a/src/programs/quota_slopes_main.cpp
+++ b/src/programs/quota_slopes_main.cpp
@@ -44,6 +44,9 @@
         state.push_back({"workspace-" + std::to_string(n), {std::string(64, 'k')}, directory::quota{50, 50}});
     for (std::size_t n = 0; n < vms; ++n)
         members.push_back({"vm-" + std::to_string(n), {}});
+    std::vector<std::string> names;
+    for (const auto &it : members)
+        names.push_back(it.name);
     std::vector<std::string> targets;
     for (std::size_t group = 0; group < quota::group_count; ++group) {
         const auto order = routing::rank_homes({quota::group_name(group), {}}, members);
@@ -57,7 +60,7 @@
     quota::quota_account pool("pool", now);
     for (auto *const it : {&vm, &pool}) {
         it->fleet().record_size(static_cast<std::uint32_t>(vms));
-        it->fleet().record_list(vms, now);
+        it->fleet().record_list(names, now);
         it->fleet().record_contact(now);
         it->update_fleet(now);
         it->apply(state, now);
--- a/src/proxy/proxy_task_peers.cpp
+++ b/src/proxy/proxy_task_peers.cpp
@@ -130,7 +130,10 @@
         update_groups(); // with the connection limit of a home
     if (peers_)
         peers_->set_members(known_members_);
-    quotas_.account().fleet().record_list(known_members_.size(), members_changed_at_);
+    std::vector<std::string> vms;
+    for (const auto &it : known_members_)
+        vms.push_back(it.vm);
+    quotas_.account().fleet().record_list(vms, members_changed_at_);
     quotas_.deposit_soon();
     log_event("members_known", {{"members", std::to_string(known_members_.size())}});
 }
--- a/src/quota/fleet_size.h
+++ b/src/quota/fleet_size.h
@@ -5,10 +5,11 @@
 #include "quota/stock_bounds.h"
 
 #include <algorithm>
-#include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <map>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace baobabport::quota {
 
@@ -32,8 +33,8 @@
 
     explicit fleet_size(time_point started_at) : started_at_(started_at) {}
 
-    /// Records the number of members of a complete list.
-    void record_list(std::size_t members, time_point now);
+    /// Records a complete list of the VMs.
+    void record_list(const std::vector<std::string> &vms, time_point now);
 
     /// Records the size that the leadership record names; 0: none. The largest one counts, since the record
     /// may follow the list of a leader that has just begun.
@@ -49,12 +50,6 @@
     [[nodiscard]] std::optional<std::uint32_t> divisor(time_point now);
 
 private:
-    struct listed_size
-    {
-        std::size_t members = 0;
-        time_point replaced_at; ///< `time_point::max()` for the current one
-    };
-
     time_point started_at_;
     std::uint32_t recorded_ = 0;
     bool alone_ = false;
@@ -62,8 +57,9 @@
     std::optional<time_point> contact_at_;
     time_point changed_at_;
     std::optional<time_point> listed_at_; ///< when the first list was known
-    /// The last entry is the current size; each earlier one is larger than those after it.
-    std::deque<listed_size> sizes_;
+    /// When each VM left the list; `time_point::max()` for those in it. VMs are counted rather than list
+    /// sizes: while some return and others are separated, the size stays the same.
+    std::map<std::string, time_point> left_at_;
 };
 
 } // namespace baobabport::quota
--- a/tests/proxy/test_quota_task.cpp
+++ b/tests/proxy/test_quota_task.cpp
@@ -27,7 +27,7 @@
         auto &fleet = task->account().fleet();
         const auto now = clock_type::now();
         fleet.record_size(1000);
-        fleet.record_list(1000, now);
+        fleet.record_list({"self", "peer", "other"}, now);
         fleet.record_contact(now);
         task->account().apply({{{"one", {"k"}, directory::quota{31, 10}}}}, now);
         task->tick(now);
--- a/tests/quota/quota_fleet.cpp
+++ b/tests/quota/quota_fleet.cpp
@@ -122,7 +122,10 @@
         if (vms_[vm].account && now_ - vms_[vm].seen_at < member_lifetime)
             members.push_back(vm);
     }
-    leader_sizes_.record_list(members.size(), now_);
+    std::vector<std::string> names;
+    for (const auto vm : members)
+        names.push_back(name_of(vm));
+    leader_sizes_.record_list(names, now_);
     leader_sizes_.record_contact(now_);
     leader_sizes_.record_size(static_cast<std::uint32_t>(members.size())); // the leader need not wait
     const auto size = leader_sizes_.divisor(now_).value();
@@ -134,7 +137,7 @@
         auto &it = vms_[vm];
         it.members = members;
         it.account->fleet().record_size(recorded_size);
-        it.account->fleet().record_list(members.size(), now_);
+        it.account->fleet().record_list(names, now_);
         it.account->fleet().record_contact(now_);
         it.account->update_fleet(now_);
     }
--- a/tests/quota/test_quota_account.cpp
+++ b/tests/quota/test_quota_account.cpp
@@ -27,6 +27,14 @@
     return out;
 }
 
+std::vector<std::string> vms(int first, int count)
+{
+    std::vector<std::string> out;
+    for (int n = first; n < first + count; ++n)
+        out.push_back("vm-" + std::to_string(n));
+    return out;
+}
+
 int takes(quota_account &from, time_point now)
 {
     int out = 0;
@@ -44,11 +52,11 @@
     CHECK_FALSE(size.divisor(start));
     size.record_size(63);
     CHECK_FALSE(size.divisor(start)); // neither a list nor a leader
-    size.record_list(1, start);
+    size.record_list(vms(0, 1), start);
     CHECK_FALSE(size.divisor(start));
     size.record_contact(start);
     CHECK(size.divisor(start) == 63U);
-    size.record_list(70, start + milliseconds(900));
+    size.record_list(vms(0, 70), start + milliseconds(900));
     CHECK(size.divisor(start + milliseconds(900)) == 70U);
 }
 
@@ -57,8 +65,8 @@
 {
     fleet_size size(start);
     size.record_contact(start);
-    size.record_list(1, start);
-    size.record_list(2, start + milliseconds(800));
+    size.record_list(vms(0, 1), start);
+    size.record_list(vms(0, 2), start + milliseconds(800));
     CHECK_FALSE(size.divisor(start + milliseconds(1100)));
     CHECK(size.divisor(start + milliseconds(1800)) == 2U);
 }
@@ -68,9 +76,9 @@
 {
     fleet_size size(start);
     size.record_size(10);
-    size.record_list(10, start);
+    size.record_list(vms(0, 10), start);
     size.record_contact(start);
-    size.record_list(4, start + milliseconds(1000));
+    size.record_list(vms(0, 4), start + milliseconds(1000));
     CHECK(size.divisor(start + milliseconds(25000)) == 10U);
     CHECK_FALSE(size.divisor(start + milliseconds(25001)));
     size.record_contact(start + milliseconds(31000));
@@ -78,6 +86,18 @@
     CHECK(size.divisor(start + milliseconds(31001)) == 4U);
 }
 
+// Guards against VMs that return while others are separated: the list keeps its size, and all issue.
+TEST_CASE("VMs that have left the list are counted beside those that replaced them")
+{
+    fleet_size size(start);
+    size.record_size(10);
+    size.record_contact(start);
+    size.record_list(vms(0, 10), start);
+    CHECK(size.divisor(start) == 10U);
+    size.record_list(vms(4, 10), start + milliseconds(1000));
+    CHECK(size.divisor(start + milliseconds(1000)) == 14U);
+}
+
 // Guards against bounds whose sum exceeds what is tolerated, for any quota and settings.
 TEST_CASE("the bounds of all stocks and the issue of a window stay within what is tolerated")
 {
