--- a/tests/quota/quota_fleet.cpp
+++ b/tests/quota/quota_fleet.cpp
@@ -33,7 +33,7 @@
     events_.emplace(when, std::move(action));
 }
 
-void quota_fleet::run_at(std::size_t vm, std::uint64_t incarnation, std::function<void()> action)
+void quota_fleet::run_at(std::size_t vm, std::uint64_t incarnation, const std::function<void()> &action)
 {
     if (!vms_[vm].account || vms_[vm].incarnation != incarnation)
         return;
@@ -45,7 +45,7 @@
     action();
 }
 
-void quota_fleet::deliver(std::size_t from, std::size_t to, std::function<void()> action)
+void quota_fleet::deliver(std::size_t from, std::size_t to, const std::function<void()> &action)
 {
     ++messages_;
     const bool lost = std::uniform_real_distribution<>(0, 1)(random_) < loss;
@@ -122,7 +122,10 @@
         if (vms_[vm].account && now_ - vms_[vm].seen_at < member_lifetime)
             members.push_back(vm);
     }
-    leader_sizes_.record_list(members.size(), now_);
+    std::vector<std::string> names;
+    for (const auto vm : members)
+        names.push_back(name_of(vm));
+    leader_sizes_.record_list(names, now_);
     leader_sizes_.record_contact(now_);
     leader_sizes_.record_size(static_cast<std::uint32_t>(members.size())); // the leader need not wait
     const auto size = leader_sizes_.divisor(now_).value();
@@ -134,7 +137,7 @@
         auto &it = vms_[vm];
         it.members = members;
         it.account->fleet().record_size(recorded_size);
-        it.account->fleet().record_list(members.size(), now_);
+        it.account->fleet().record_list(names, now_);
         it.account->fleet().record_contact(now_);
         it.account->update_fleet(now_);
     }
