--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -33,7 +33,7 @@
     /// While the desired state is older than `revocation_bound`, callers' keys are not accepted.
     bool strict_revocation = false;
     milliseconds revocation_bound{5000};
-    quota::tolerance quotas; ///< how far a workspace may exceed its quota
+    quota::tolerance quotas;     ///< how far a workspace may exceed its quota
     std::uint64_t memory_mb = 0; ///< memory of the VM in MiB; 0: not known
     std::uint64_t max_fds = 0;   ///< descriptors that the process may have open; 0: not known
 };
