--- a/src/programs/quota_slopes_main.cpp
+++ b/src/programs/quota_slopes_main.cpp
@@ -45,6 +45,7 @@
     for (std::size_t n = 0; n < vms; ++n)
         members.push_back({"vm-" + std::to_string(n), {}});
     std::vector<std::string> names;
+    names.reserve(members.size());
     for (const auto &it : members)
         names.push_back(it.name);
     std::vector<std::string> targets;
