Read numbers of the settings in one place

Cause: three copies of the same parsing, one of which took "nan" for a time. Change: one function with the range as arguments.

--- a/src/proxy/settings_file.cpp
+++ b/src/proxy/settings_file.cpp
@@ -34,38 +34,38 @@
         fields.fail(name, '"' + text + '"', "IP:PORT or an empty text");
 }
 
-/// Reads a duration given as a string: a number of units, which may have a fraction.
-void read_time(support::json_fields &fields, const char *name, double unit_ms, milliseconds &out)
+/// Reads a number given as a string. Returns none if the field is absent, or outside of the range, which is a
+/// failure.
+std::optional<double> read_quoted(support::json_fields &fields, const char *name, double least, double most,
+                                  const std::string &expected)
 {
     std::string text;
     fields.text(name, text, false);
     if (text.empty())
-        return;
+        return std::nullopt;
     double value = 0;
     const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (ec == std::errc() && end == text.data() + text.size() && value >= least && value <= most)
+        return value;
+    fields.fail(name, '"' + text + '"', expected);
+    return std::nullopt;
+}
+
+/// Reads a duration: a number of units, which may have a fraction.
+void read_time(support::json_fields &fields, const char *name, double unit_ms, milliseconds &out)
+{
     constexpr double longest_ms = 3600.0 * 1000;
-    const double value_ms = value * unit_ms;
-    if (ec != std::errc() || end != text.data() + text.size() || value_ms < 1 || value_ms > longest_ms)
-        fields.fail(name, '"' + text + '"',
-                    "a time of at least 1 ms and at most an hour, as a number in quotes");
-    else
-        out = milliseconds(static_cast<std::int64_t>(value_ms));
+    if (const auto value = read_quoted(fields, name, 1 / unit_ms, longest_ms / unit_ms,
+                                       "a time of at least 1 ms and at most an hour, as a number in quotes"))
+        out = milliseconds(static_cast<std::int64_t>(*value * unit_ms));
 }
 
-/// Reads a number of at least 0 given as a string.
+/// Reads a number of at least 0.
 void read_number(support::json_fields &fields, const char *name, double most, double &out)
 {
-    std::string text;
-    fields.text(name, text, false);
-    if (text.empty())
-        return;
-    double value = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (ec != std::errc() || end != text.data() + text.size() || !(value >= 0 && value <= most))
-        fields.fail(name, '"' + text + '"',
-                    "a number in quotes, from 0 to " + std::to_string(std::lround(most)));
-    else
-        out = value;
+    if (const auto value = read_quoted(fields, name, 0, most,
+                                       "a number in quotes, from 0 to " + std::to_string(std::lround(most))))
+        out = *value;
 }
 
 /// Reads a truth value given as a string.
@@ -79,20 +79,12 @@
         fields.fail(name, '"' + text + '"', "\"true\" or \"false\"");
 }
 
-/// Reads a size or count given as a string; a fraction is cut off.
-void read_number(support::json_fields &fields, const char *name, std::uint64_t &out)
+/// Reads a size or count; a fraction is cut off.
+void read_count(support::json_fields &fields, const char *name, std::uint64_t &out)
 {
     constexpr double greatest = 1e9;
-    std::string text;
-    fields.text(name, text, false);
-    if (text.empty())
-        return;
-    double value = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (ec != std::errc() || end != text.data() + text.size() || !(value >= 1 && value <= greatest))
-        fields.fail(name, '"' + text + '"', "a number of at least 1, in quotes");
-    else
-        out = static_cast<std::uint64_t>(value);
+    if (const auto value = read_quoted(fields, name, 1, greatest, "a number of at least 1, in quotes"))
+        out = static_cast<std::uint64_t>(*value);
 }
 
 } // namespace
@@ -135,8 +127,8 @@
     read_time(fields, "quota_window_s", s, out.quotas.window);
     read_number(fields, "quota_overage", most_overage, out.quotas.overage);
     read_number(fields, "quota_slack", most_slack, out.quotas.slack);
-    read_number(fields, "memory_mb", out.memory_mb);
-    read_number(fields, "max_fds", out.max_fds);
+    read_count(fields, "memory_mb", out.memory_mb);
+    read_count(fields, "max_fds", out.max_fds);
     fields.finish();
     if (error) {
         error->line = support::line_of(text, error->path);
