--- a/tests/quota/quota_fleet.cpp
+++ b/tests/quota/quota_fleet.cpp
@@ -123,6 +123,7 @@
             members.push_back(vm);
     }
     std::vector<std::string> names;
+    names.reserve(members.size());
     for (const auto vm : members)
         names.push_back(name_of(vm));
     leader_sizes_.record_list(names, now_);
