--- a/review/lib-2/small_site.py
+++ b/review/lib-2/small_site.py
@@ -1022,6 +1022,8 @@
         site.record(f'the case could not run: {ec}', True)
     except asyncio.TimeoutError:
         site.record('the case could not run: it took too long', True)
+    except Exception as ec:  # a fault of the case itself is no broken rule
+        site.record(f'the case could not run: {ec!r}', True)
     finally:
         site.stop()
         if os.environ.get('KEEP_LOGS'):
