--- a/review/lib-2/small_site.py
+++ b/review/lib-2/small_site.py
@@ -580,7 +580,7 @@
 
     async def notice(self, leader):
         """The old primary steps down a second after it can reach the new one."""
-        while self.is_cut_from(leader):
+        while self.is_cut_from(leader) or not leader.running:
             await asyncio.sleep(0.02)
         await asyncio.sleep(1.0)
         if self.running and self.role == 'primary' and self.term < leader.term:
