--- a/review/lib-2/small_site.py
+++ b/review/lib-2/small_site.py
@@ -23,6 +23,7 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), '..', '..'))
 HEARTBEAT_S = 1.2
+SILENT_S = 3 * HEARTBEAT_S  # "after three ping intervals of silence" an instance's entry is removed
 BOUNDS = {'grace_s': 6, 'config_apply_ms': 3000, 'drain_ms': 7000, 'contact_ms': 4000, 'thaw_slack_ms': 300,
           'lost_slack_ms': 200}
 
@@ -104,7 +105,7 @@
         self.away = False
         self.writers = set()
         self.changed = asyncio.Condition()
-        self.last_writer = None
+        self.beat_at = {}  # key of an instance's entry -> when it was last written
 
     async def start(self, ip):
         self.server = await asyncio.start_server(self.serve, ip, 0, limit=8 << 20)
@@ -127,6 +128,9 @@
             now = time.monotonic()
             for number in [n for n, it in self.leases.items() if it[1] <= now]:
                 await self.end_lease(number)
+            for key in [k for k, at in self.beat_at.items() if now - at > SILENT_S and not self.away]:
+                del self.beat_at[key]
+                await self.remove(key)
 
     async def end_lease(self, number):
         self.leases.pop(number, None)
@@ -141,6 +145,8 @@
         if isinstance(value, str):
             value = value.encode()
         self.revision += 1
+        if key.startswith('servers/'):
+            self.beat_at[key] = time.monotonic()
         self.write(key, value, lease)
         if notify:
             await self.notify()
@@ -174,6 +180,7 @@
     async def come_back(self, copy):
         now = time.monotonic()
         self.items = copy['items']
+        self.beat_at = {key: now for key in self.items if key.startswith('servers/')}
         self.revision = copy['revision']
         self.history = copy['history']
         self.leases = {n: (t, now + left) for n, (t, left) in copy['leases'].items()}
