--- a/review/7/case.py
+++ b/review/7/case.py
@@ -61,17 +61,17 @@
     if trouble:
         behind.deaf = True
         site.record(f'{behind.id} receives nothing', True)
-        await asyncio.sleep(2)
+        await asyncio.sleep(1.3)
         near.unreachable_by.add(leader)
         site.record(f'{near.id} is cut off from {leader} only', True)
         await asyncio.sleep(0.3)
         await primary.crash()
-        await asyncio.sleep(CUT_S - 0.3)
+        await asyncio.sleep(CUT_S - 0.4)
         near.unreachable_by.clear()
         site.record('the cut heals', True)
         behind.deaf = False
         group.instances[near.id].follow_changed()
-        await asyncio.sleep(CRASH_S - CUT_S + 0.3)
+        await asyncio.sleep(CRASH_S - CUT_S + 0.2)
         if group.term > primary.term:
             primary.role = 'replica'
         await primary.start()
