--- a/review/lib-3/site3.py
+++ b/review/lib-3/site3.py
@@ -324,6 +324,8 @@
         word, _, rest = text.partition(' ')
         if at.state == 'E' and word not in ('COMMIT', 'ROLLBACK'):
             return self.error(at, 'MALFORMED')
+        if word == 'EXECUTE' and rest.partition(' ')[0] not in at.prepared:
+            return self.error(at, 'UNKNOWN')
         if word in ('READ', 'WRITE', 'COMMIT', 'EXECUTE'):
             if self.busy >= self.group.slots + self.group.queue:
                 return f'ERROR BUSY {self.id}\r\n'
@@ -340,6 +342,9 @@
         return self.command(at, word, rest)
 
     async def run(self, at, number, word, rest, text):
+        if word == 'EXECUTE':
+            name, _, rest = rest.partition(' ')
+            word = at.prepared[name]
         lost_lead = self.role != 'primary'
         if lost_lead and (word == 'WRITE' or (at.state == 'T' and not at.read_only)):
             return self.error(at, 'READONLY')
@@ -371,7 +376,7 @@
             return ok
         if word == 'PREPARE':
             name, _, shape = rest.partition(' ')
-            at.prepared[name] = shape
+            at.prepared[name] = shape.partition(' ')[0]  # READ or WRITE
             return ok
         if word == 'CLOSE':
             at.prepared.pop(rest, None)
