--- a/review/lib-3/site3.py
+++ b/review/lib-3/site3.py
@@ -677,9 +677,8 @@
     os._exit(status)
 
 
-def run_case(folder, case, **options):
+def run_case(folder, case, disrupt, **options):
     """Runs `case(site, disrupt)`, which returns a list of broken rules. Exits with 0, 1 or 2."""
-    disrupt = os.environ.get('TROUBLE', '1') != '0'
     site = Site(folder, **options)
 
     async def main():
