--- a/review/12/case.py
+++ b/review/12/case.py
@@ -8,9 +8,11 @@
 sys.path.insert(0, os.path.join(FOLDER, '..', 'lib-3'))
 import site3  # noqa: E402
 
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'  # with 0 the disruption is left out
 CUT_S = 5.0  # a replica cannot reach the platform's store for so long
 DEAF_S = 6.5  # the other replica receives nothing for so long
 CRASH_AFTER_S = 3.9  # the primary crashes so long after both began
+DOWN_S = 6.5  # of the primary, until the script ends
 
 
 async def write_on(site, name, written, end):
@@ -33,13 +35,23 @@
     await asyncio.sleep(3)
     written = {}
     begun = site.record.now()
-    writers = [asyncio.create_task(write_on(site, name, written, begun + 13)) for name in site.processes]
+    writers = [asyncio.create_task(write_on(site, name, written, begun + 1 + CRASH_AFTER_S + DOWN_S)) for name in site.processes]
+    # Two further groups, as the deployments have: one of nine instances cannot reach the store.
+    for group in ('svc2', 'svc3'):
+        more = site.cloud.groups[group] = site3.Group(site.record, site.store, group)
+        for n in range(3):
+            it = more.add(f'{group}-{n}', 'zone-%d' % (n + 1))
+            it.role = 'primary' if n == 0 else 'replica'
+            await it.start(site.net + '.%d' % ((20 if group == 'svc2' else 30) + n))
+    state = site.state(8)
+    state['backends'] += [{'name': it, 'max_connections': 28, 'sync_replicas': 1} for it in ('svc2', 'svc3')]
+    await site.store.put('op/config', state)
     await asyncio.sleep(1)
     primary, near, far = (site.group.instances[it] for it in ('i-a', 'i-b', 'i-c'))
     if disrupt:
         site.record(f'{near.id} cannot reach the store; {far.id} receives nothing', True)
         near.reaches_store, far.deaf = False, True
-        await asyncio.sleep(CRASH_AFTER_S)
+    await asyncio.sleep(CRASH_AFTER_S)
     listed = sorted(it for it in site.store.items if it.startswith('servers/'))
     site.record(f'{primary.id} crashes; listed are {listed}', True)
     log_then = list(primary.log)
@@ -71,4 +83,4 @@
             f'and acknowledged at {written[n][0]:.3f}, is not in the log of {instance}' for n in lost]
 
 
-sys.exit(site3.run_case(FOLDER, case, sync_replicas=1))
+sys.exit(site3.run_case(FOLDER, case, TROUBLE, sync_replicas=1))
